Keep half of a customer's ceiling at its home, which grants of it

Change: half of the ceiling is split as before; four tenths stay at the home, which says in its answer whether they have room for what was asked and takes off what the asker's chance will use. A grant grows old after 0.5 s, so that grants that were held cannot leave in a burst with those of later; one that is lost or comes to a gateway that has restarted is used by nobody. The home's store starts empty like the parts, as a restart looks like a first start.

Weighed: the whole ceiling at the home (nothing could leave while it is dead); a lottery at the home (the design has each front door refuse by chance).

--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -227,7 +227,8 @@
     """What one gateway tells another of a customer: to its home, or from there when it answers.
 
     A customer goes by a checksum of its name. `demand` and `spent` are new to the home; in an answer,
-    `demand` is that of the whole set. `asked` waits for an answer; `level` is what the set has left or owes.
+    `demand` is that of the whole set, and `spent` what the home grants of what was asked, from its part of
+    the ceiling. `asked` waits for an answer; `level` is what the set has left or owes.
     """
 
     customer: int
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -25,6 +25,9 @@
 ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 2, S
 SILENT_US, ASK_AGAIN_US = 500_000, 300_000  # a peer is silent that answers no ask for so long; asked again
 LEAST_KEPT_US = 10 * S  # for which a customer is remembered in any case
+# Parts of a customer's ceiling: split over its set, and kept at its home, which grants of it to whoever asks.
+# A set of many splits it into less than a unit each. The rest is left for grants told while others are used.
+CEILING_SPLIT, CEILING_HOME, GRANT_FRESH_US = 0.5, 0.4, 500_000
 SPACE_US = 80_000  # between words to one peer, at most
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
@@ -60,8 +63,8 @@
 class _Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    __slots__ = ("at", "ceiling", "heard_us", "home", "key", "level", "others", "out", "own", "part", "plan",
-                 "size", "spent", "untold")
+    __slots__ = ("at", "ceiling", "ceiling_home", "ceiling_part", "grants", "heard_us", "home", "key",
+                 "level", "others", "out", "own", "part", "plan", "size", "spent", "untold")
 
     def __init__(
         self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
@@ -71,7 +74,12 @@
         self.part, self.level = plan.burst / self.size, plan.burst
         self.own, self.others = 0.0, 0.0  # aged demand, here and at the others of the set
         # Empty at the gateway's start, as a restart looks like a first one; it fills from then on.
-        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - since) / S) / self.size
+        shared = set_.may_tell and self.size > 1
+        self.ceiling_part = (CEILING_SPLIT if shared else 1.0) / self.size
+        ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - since) / S)
+        self.ceiling = ceiling * self.ceiling_part
+        self.ceiling_home = CEILING_HOME if shared and self.home == set_.me else 0.0
+        self.grants = ceiling * self.ceiling_home
         self.heard_us, self.out = -NEVER, 0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
 
@@ -79,7 +87,9 @@
         """Refill the parts. Others' demand and the level stay as told while that is fresh, as others go on
         asking; after that, as when the home has gone, they are what may be by now."""
         took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
-        self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * took * part)
+        flow, most = plan.ceiling_rate * took, plan.ceiling_burst
+        self.ceiling = min(most * self.ceiling_part, self.ceiling + flow * self.ceiling_part)
+        self.grants = min(most * self.ceiling_home, self.grants + flow * self.ceiling_home)
         aged = math.exp(-took * S / DEMAND_US)
         self.own *= aged
         if now - self.heard_us > WORD_FRESH_US:
@@ -100,6 +110,17 @@
         quota = self.level + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
+    def allows(self, units: float) -> bool:
+        """Whether the part of the ceiling here has room."""
+        return not self.plan.ceiling_rate or self.ceiling >= units
+
+    def grant(self, units: float, chance: float) -> bool:
+        """At home: whether the ceiling has room for what somebody asks, who sends it on by that chance."""
+        if not self.plan.ceiling_rate or self.grants < units:
+            return False
+        self.grants -= units * chance
+        return True
+
     def spend(self, units: float) -> None:
         self.level = max(self.level - units, -self.plan.rate * DEMAND_US / S)  # it owes nothing for long
 
@@ -120,6 +141,7 @@
         self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
         self.unsent = 0  # attempts that never came whole to a server
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
+        self.granted_until = -NEVER  # from the home's part of the ceiling
 
     def may_refuse(self) -> bool:
         keyed_ok = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
@@ -305,14 +327,18 @@
         self.held = []
         for entry in held:
             job = entry[2]
-            waits = job.over or (not job.servers and (blocked or (
-                job.customer.plan.ceiling_rate and job.customer.refill(self.now).ceiling < job.req.units)))
+            waits = job.over or (not job.servers and (blocked or not self.under_ceiling(job)))
             if server := None if waits else self.choose(job):
                 self.send(job, server)
             elif not job.over:
                 self.held.append(entry)  # where no server takes anything there is no need to look on
             blocked = blocked or not self.allowance() or not (waits or server)
 
+    def under_ceiling(self, job: _Job) -> bool:
+        if not job.customer.plan.ceiling_rate or self.now < job.granted_until:
+            return True
+        return job.customer.refill(self.now).allows(job.req.units)
+
     def expire(self, job: _Job, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed, and
         before half of its time is over while nothing of it has been sent."""
@@ -338,10 +364,11 @@
         customer.own, customer.untold = customer.own + units, customer.untold + units
         most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
         heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
-        if not customer.plan.max_out and customer.part >= units:
+        alone = home == self.set.me
+        if not customer.plan.max_out and customer.part >= units and (alone or customer.allows(units)):
             self.decide(job, 1.0)
             self.tell(home, customer, 0.0)
-        elif home == self.set.me or heard or self.is_silent(home) or not customer.plan.rate:
+        elif alone or heard or self.is_silent(home) or not customer.plan.rate:
             self.decide(job, customer.chance(units))
         else:
             self.ask(job)
@@ -365,6 +392,8 @@
         job.in_quota, plan = self.random.random() < chance, job.customer.plan
         if job.in_quota:
             self.spend(job.customer, job.req.units)
+            if not job.customer.allows(job.req.units) and job.customer.grant(job.req.units, 1.0):
+                job.granted_until = self.now + GRANT_FRESH_US
         elif plan.over_worth <= plan.over_cost or self.n_past is not None:
             self.end(job)
             return
@@ -372,9 +401,11 @@
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
 
-    def end_waits(self, told: _Customer | None = None) -> None:
+    def end_waits(self, told: _Customer | None = None, granted: float = 0.0) -> None:
         """Decide on those that wait for word: theirs has come, or what is known here must do."""
         ready = [job for job in self.waits if job.customer is told][:1]
+        for job in ready:
+            job.granted_until = self.now + GRANT_FRESH_US if granted >= job.req.units else -NEVER
         ready += [job for job in self.waits if job.decide_us <= self.now and job not in ready]
         self.waits = [job for job in self.waits if job not in ready]
         for job in [job for job in ready if not job.over]:
@@ -391,11 +422,11 @@
         customer.spend(units)
         customer.part, customer.spent = max(0.0, customer.part - units), customer.spent + units
 
-    def tell(self, peer: int, customer: _Customer, asked: float) -> None:
+    def tell(self, peer: int, customer: _Customer, asked: float, granted: float = 0.0) -> None:
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
         answer = customer.home == self.set.me
-        demand = customer.demand if answer else customer.untold
-        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level)
+        demand, spent = (customer.demand, granted) if answer else (customer.untold, customer.spent)
+        word = i.Word(*customer.key, answer, demand, spent, asked, customer.level)
         if peer != self.set.me:
             self.words.setdefault(peer, []).append(word)
         customer.untold = customer.spent = 0.0
@@ -424,14 +455,16 @@
                 customer.heard_us, customer.level = self.now, word.level
                 customer.others = max(0.0, word.demand - customer.own)
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
-                self.end_waits(customer if word.asked else None)
+                self.end_waits(customer if word.asked else None, word.spent)
             elif customer.home == self.set.me:
                 customer.level = min(customer.level, word.level) if new else customer.level
                 customer.others += word.demand
                 customer.spend(word.spent)
+                chance = customer.chance(word.asked)
+                granted = word.asked * customer.grant(word.asked, chance) if word.asked > 0 else 0.0
                 if word.asked or customer.level < customer.plan.burst / 2:
-                    self.tell(message.sender, customer, word.asked)
-                customer.spend(word.asked * customer.chance(word.asked))
+                    self.tell(message.sender, customer, word.asked, granted)
+                customer.spend(word.asked * chance)
 
     def hear(self, digest: i.Digest) -> None:
         """What a peer saw counts as if it had been seen here, its failures in part."""
@@ -517,7 +550,8 @@
     def send(self, job: _Job, server: _Server) -> None:
         if not (number := len(job.servers)):
             self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
-            job.customer.ceiling -= job.req.units
+            if self.now >= job.granted_until:
+                job.customer.ceiling -= job.req.units
         job.servers.append(server)
         job.out[number] = server.out[(job.req.id, number)] = self.now
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
