Keep to the connections that are there; leave a spare unit in dear stores

Change: a gateway of many looks at one server drawn from all and two drawn from those where it should have a free connection; a new connection weighs as some attempts out do, by its price in the settings (none: as before). A set of some servers forms by itself, and grows when those are loaded. The chance leaves a part of a unit in the store, as much as an overrun costs of its worth.

Weighed: fixed subsets by hash (uneven, and too small when a zone is lost).

--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -112,6 +112,7 @@
         trued_up=pairs.flag("extra.trued-up"),
         peer_messages_per_s=pairs.number("extra.mail-per-s"),
         cross_zone_price=pairs.number("prices.cross-zone"),
+        handshake_price=pairs.number("prices.handshake"),
         waste_price=pairs.number("prices.waste"),
         late_fail_price=pairs.number("prices.late-fail"),
         message_price=pairs.number("prices.peer"),
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -108,6 +108,7 @@
     trued_up: bool = False
     peer_messages_per_s: float = 0.0
     cross_zone_price: float = 0.0
+    handshake_price: float = 0.0
     waste_price: float = 0.0
     late_fail_price: float = 0.0
     message_price: float = 0.0
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -36,6 +36,8 @@
 # know what is out by their own attempts; many go by what is told late, and two keep what they pile up small.
 FEW_GATEWAYS, CHOICES, CHOICES_OF_MANY = 8, 8, 2
 LEAST_LAG, USUAL_LAG = 0.02, 0.2  # the second: latency over the aim, before anything is known
+# What a new connection weighs, in attempts out at a server, for each point that it costs of a first try.
+HANDSHAKE_WEIGHT = 20.0
 LAG_SMOOTH = 0.15  # weight of one answer in a server's mean latency over the aim, whoever got it
 PEER_PART = 0.5  # of a failure: how much one that a peer tells of counts
 # Trials of a suspect server by all gateways, for each chance that they have of one: whoever makes it tells.
@@ -49,12 +51,17 @@
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
 
+# Results after which the connection is not used again.
+BROKEN = {i.Result.TIMEOUT, i.Result.CANCELLED, i.Result.RESET, i.Result.SPOILT, i.Result.CONNECT_FAILED}
+
+
 class _Server:
     def __init__(self, entry: i.Server) -> None:
         self.entry, self.mark = entry, mark(entry.name)
         self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
         self.heard_us = self.avoid_until = self.next_us = self.backoff_us = 0
         self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
+        self.connections = 0  # that should be open: as many as were out at once, less those that broke
         self.lag = 0.0  # mean latency over the aim, for all gateways together
         self.on_trial, self.load, self.load_at = False, None, 0
         self.warm_from = entry.started_us  # start of its ramp: its start, or its return from suspicion
@@ -107,7 +114,8 @@
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
         if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
             return 0.0
-        quota = self.level + self.plan.rate * DEMAND_US / S
+        spare = units * self.plan.over_cost  # kept in the store: to find it empty costs so much
+        quota = self.level - spare + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
     def allows(self, units: float) -> bool:
@@ -494,8 +502,13 @@
         # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
         room = [server for server in usable if (warmth := self.warmth(server)) >= 1 or (
             self.now >= server.next_us and self.random.random() < warmth)]
-        most = CHOICES if self.set.gateways <= FEW_GATEWAYS else CHOICES_OF_MANY
-        return min(self.random.sample(room, min(most, len(room))), key=self.cost, default=None)
+        if self.set.gateways <= FEW_GATEWAYS:
+            return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
+        looked_at = self.random.sample(room, min(CHOICES_OF_MANY, len(room)))
+        if self.set.handshake_price:  # each gateway keeps to the servers that it has connections to
+            met = [server for server in room if len(server.out) < server.connections]
+            looked_at = looked_at[:1] + self.random.sample(met, min(CHOICES_OF_MANY, len(met)))
+        return min(looked_at, key=self.cost, default=None)
 
     def may_try(self, job: _Job, server: _Server) -> bool:
         """Whether this attempt may be the trial of a suspect server: all gateways make but a few."""
@@ -518,7 +531,8 @@
         far = 1 + 10 * self.set.cross_zone_price * (server.entry.zone != self.set.zone)
         waits = 0 if server.on_trial else len(server.out) + 1  # a trial that is due goes first
         if self.set.gateways > FEW_GATEWAYS and waits:
-            return (waits + self.fleet.out_at(server.mark)) * max(LEAST_LAG, server.lag) * far
+            new = HANDSHAKE_WEIGHT * self.set.handshake_price * (len(server.out) >= server.connections)
+            return (waits + new + self.fleet.out_at(server.mark)) * max(LEAST_LAG, server.lag) * far
         return waits * server.slowness * pressure * far
 
     def warmth(self, server: _Server) -> float:
@@ -554,6 +568,7 @@
                 job.customer.ceiling -= job.req.units
         job.servers.append(server)
         job.out[number] = server.out[(job.req.id, number)] = self.now
+        server.connections = max(server.connections, len(server.out))
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
         server.next_us = self.now + self.spacing(server)
         if job.ran_on is None:
@@ -586,6 +601,7 @@
             return
         server, job.customer.out, self.out = job.servers[event.attempt], job.customer.out - 1, self.out - 1
         del job.out[event.attempt], server.out[(event.id, event.attempt)]
+        server.connections -= event.result in BROKEN and server.connections > 0
         self.learn(job, server, event)
         job.unsent += event.result in (i.Result.CONNECT_FAILED, i.Result.MOOT)
         job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -167,3 +167,37 @@
     gateway.signals["latency"] = [0.5]
     gateway.update_cap(6)
     assert 5 <= gateway.n_exact <= 6.5
+
+
+def test_gateways_of_many_keep_to_the_connections_that_they_have() -> None:
+    """A new connection has its price, and 40 gateways by 60 servers are 2,400 of them."""
+    used = {}
+    for price in (0.0, 0.1):
+        world = World(replace(MANY, handshake_price=price), servers(60))
+        names = sends(world, 300)
+        used[price] = len(set(names))
+    assert used[0.0] > 50 and used[0.1] < 25
+
+
+def test_a_loaded_server_is_left_for_a_new_connection() -> None:
+    world = World(replace(MANY, handshake_price=0.1), servers(60))
+    met = set(sends(world, 50))
+    for sender in range(1, 30):
+        told(world, sender, *(i.Note(mark(name), out=3) for name in met))
+    world.log.clear()
+    assert set(sends(world, 100)) - met
+
+
+def test_a_connection_that_broke_is_not_counted_on() -> None:
+    world = World(replace(MANY, gateways=1), servers(1))
+    server = world.gateway.servers["s0"]
+    for name in ("a", "b", "c"):
+        world.ask(name)
+    assert server.connections == 3
+    world.answer("a")
+    assert server.connections == 3  # an answer leaves it open
+    world.gateway.retries = 0.0
+    world.answer("b", i.Result.ERROR)
+    assert server.connections == 3
+    world.answer("c", i.Result.RESET)
+    assert server.connections == 2
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -742,3 +742,16 @@
             world.answer(job, attempt=attempt)
     assert waited < 15  # all of the first half second, then now and then
     assert waited > 5  # and it is asked again
+
+
+def test_a_store_that_costs_when_found_empty_is_not_run_dry() -> None:
+    free, dear = (replace(PLAN, over_cost=cost) for cost in (0.0, 1.0))
+    chances = {}
+    for plan in (free, dear):
+        world = World(replace(SETTINGS, plans=(plan,)))
+        world.ask("a")
+        (customer,) = world.gateway.customers.values()
+        assert customer.chance(1.0) == 1.0  # a full store lets all pass
+        customer.level, customer.own = 1.0, 12.0
+        chances[plan.over_cost] = customer.chance(1.0)
+    assert chances == {0.0: pytest.approx(6 / 12), 1.0: pytest.approx(5 / 12)}
