Refuse at once what cannot get its turn in time, with advice to come soon

Clients do not mark retries.

Change: a held request is refused as soon as those ahead of it take too long to leave, by the cap or, by Little's law, by those that are out.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -48,6 +48,8 @@
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
+# When one that the cap keeps out should come again, as a part of its aim: soon enough to be served in time.
+SOON_PART = 5
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
 
@@ -209,8 +211,12 @@
         while self.now - self.period_us >= self.cc_us:
             self.end_period()
         self.end_waits()
-        self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
         self.release()
+        held, self.held = self.held, []
+        turn_us = 0.0 if self.allowance() else self.turn_us()
+        for entry in held:
+            if not self.expire(entry[2], NEEDED_HELD, len(self.held) * turn_us):
+                self.held.append(entry)
 
     def on_request(self, req: i.Request) -> None:
         key = (zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
@@ -325,9 +331,17 @@
     def allowance(self) -> bool:
         part = min(1.0, (self.now - self.period_us + TICK_US) / self.cc_us)
         # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap.
-        free = self.out < max(LEAST_OUT, OUT_PER_SERVER * self.capacity / self.set.gateways)
+        free = self.out < self.most_out()
         return free and (self.n_past is None or self.accepted < math.ceil(self.n_past * part))
 
+    def most_out(self) -> float:
+        return max(LEAST_OUT, OUT_PER_SERVER * self.capacity / self.set.gateways)
+
+    def turn_us(self) -> float:
+        """How long it takes until one more may leave, by the cap or by those that are out."""
+        by_out = sum(self.mean_us) / max(1, len(self.mean_us)) / self.most_out()
+        return by_out if self.n_past is None else max(by_out, self.cc_us / self.n_exact)
+
     def release(self) -> None:
         blocked, held = not self.allowance(), self.held
         if blocked or not held:
@@ -347,14 +361,17 @@
             return True
         return job.customer.refill(self.now).allows(job.req.units)
 
-    def expire(self, job: _Job, means: float) -> bool:
+    def expire(self, job: _Job, means: float, ahead_us: float = 0.0) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed, and
-        before half of its time is over while nothing of it has been sent."""
-        needed = min(means * self.mean_us[job.req.class_index], job.rule.aim_us / 2)
+        before half of its time is over while nothing of it has been sent. Where those ahead of it take too
+        long, that is known at once, and its client may still come in time to where there is room."""
+        needed = min(means * self.mean_us[job.req.class_index], job.rule.aim_us / 2) + ahead_us
         late = job.may_refuse() and self.now + needed >= job.aim_us
         late = late or (job.unsent == len(job.servers) and self.now + TICK_US >= job.half_us)
         if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
-            self.end(job)
+            soon = job.rule.aim_us // SOON_PART
+            useful = self.now + soon + self.mean_us[job.req.class_index] < job.aim_us
+            self.end(job, soon if useful else self.set.max_retry_after_us)
         return job.over
 
     def customer(self, key: tuple[int, int, int, int]) -> _Customer:
@@ -642,8 +659,9 @@
                 self.fleet.add_failure(server.entry.name)
             self.note_result(server, result is i.Result.OK)
 
-    def end(self, job: _Job) -> None:
-        wait = self.set.max_retry_after_us
+    def end(self, job: _Job, wait_us: int = NEVER) -> None:
+        """Its client is told when to come again: as late as it would, unless said otherwise."""
+        wait = min(wait_us, self.set.max_retry_after_us)
         self.actions.append(i.Refuse(job.req.id, wait) if job.may_refuse() else i.Fail(job.req.id))
         self.drop(job)
 
