Send warming servers their part, and bound the trials of suspect ones

At the same time 80 to 130 connects and 70 to 120 BUSY a second, of some 220 attempts, went to servers that drained or were gone (restarted front doors have an old list, and discovery is late): a trial goes first, and with 36 suspect servers one was due for nearly every request.

Change, for many front doors: no spacing of cold servers, which the lot by their warmth bounds (two looked at of 60: at most twice their part, under fall_multiple); trials take a twentieth of attempts in all, and whoever makes one tells; a BUSY is told to peers like a failure.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -40,8 +40,7 @@
 HANDSHAKE_WEIGHT = 20.0
 LAG_SMOOTH = 0.15  # weight of one answer in a server's mean latency over the aim, whoever got it
 PEER_PART = 0.5  # of a failure: how much one that a peer tells of counts
-# Trials of a suspect server by all gateways, for each chance that they have of one: whoever makes it tells.
-TRIALS = 4
+TRIAL_SHARE = 0.05  # of the attempts of many gateways may go to suspect servers: whoever makes a trial tells
 SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
 BROKEN_PART = 0.5  # of a failure: how much a spoilt answer or a reset counts
 SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
@@ -513,25 +512,22 @@
 
     def choose(self, job: _Job) -> _Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
+        few, now = self.set.gateways <= FEW_GATEWAYS, self.now
+        trial = job.rule.effect is not i.Effect.UNSAFE and (few or self.random.random() < TRIAL_SHARE)
         allowed = [server for server in self.up if self.in_group(job, server)]
-        usable = [server for server in allowed if self.now >= server.avoid_until and server not in job.servers
-                  and not (server.on_trial and not self.may_try(job, server))] or allowed
+        usable = [server for server in allowed if now >= server.avoid_until and server not in job.servers
+                  and not (server.on_trial and (server.out or not trial))] or allowed
         # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
         room = [server for server in usable if (warmth := self.warmth(server)) >= 1 or (
-            self.now >= server.next_us and self.random.random() < warmth)]
-        if self.set.gateways <= FEW_GATEWAYS:
+            now >= server.next_us and self.random.random() < warmth)]
+        if few:
             return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
         looked_at = self.random.sample(room, min(CHOICES_OF_MANY, len(room)))
         if self.set.handshake_price:  # each gateway keeps to the servers that it has connections to
             met = [server for server in room if len(server.out) < server.connections]
-            looked_at = looked_at[:1] + self.random.sample(met, min(CHOICES_OF_MANY, len(met)))
+            looked_at += self.random.sample(met, min(CHOICES_OF_MANY, len(met)))
         return min(looked_at, key=self.cost, default=None)
 
-    def may_try(self, job: _Job, server: _Server) -> bool:
-        """Whether this attempt may be the trial of a suspect server: all gateways make but a few."""
-        mine = not server.out and job.rule.effect is not i.Effect.UNSAFE
-        return mine and self.random.random() * self.set.gateways < TRIALS
-
     def in_group(self, job: _Job, server: _Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
         rule, first = job.rule, job.ran_on
@@ -558,7 +554,10 @@
         return 1.0 if age >= 1 or not server.warm_from else cold + (1 - cold) * age
 
     def spacing(self, server: _Server) -> int:
-        """A server that started or came back gets its part of what others are sent here, spaced out."""
+        """A server that started or came back gets its part of what others are sent here, spaced out. Where
+        that is an attempt in many seconds, to wait for so long after each would leave it idle."""
+        if self.set.gateways > FEW_GATEWAYS:
+            return 0
         usual = max(1 / self.set.gateways, self.rate / max(1, len(self.up)))
         return round(S / max(0.01, self.warmth(server)) / usual)
 
@@ -652,6 +651,8 @@
             self.fleet.add_signal(min(1.0, took / job.rule.aim_us))
         if result is i.Result.FULL:
             server.avoid_until = max(server.avoid_until, self.now + AVOID_US)
+            if self.set.gateways > FEW_GATEWAYS:  # as one that drains, and the list is late
+                self.fleet.add_failure(server.entry.name)
         elif result in (i.Result.SPOILT, i.Result.RESET):
             self.note_broken(server)
         elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
