Tell of absent servers for longer, and send warming ones more

Servers 5 s after their start answered in 200 to 400 ms while warm ones took 1 s and more: their part was a third of what they can surely do.

Change: refused connects and BUSY are told for 2.4 s or until an answer; only an answer to what was sent after a suspicion ends it; with many front doors a cold server's part rises from cold_from to the whole by half of the longest ramp, and counts so for N and for what may be out.

--- a/fennelwinch/fleet.py
+++ b/fennelwinch/fleet.py
@@ -14,6 +14,8 @@
 DIGEST_US = 600_000  # what a digest spans: some attempts of a gateway, and less than a jam takes to build up
 FRESH_US = 2_000_000  # for which a sender's last digest is remembered: serial numbers come round later
 SERIALS = 256
+# For which a failure is told: each digest reaches but some peers, and one that restarts has heard of nothing.
+FAILURE_US = 2_400_000
 
 
 def mark(name: str) -> int:
@@ -42,14 +44,19 @@
         self.told: set[int] = set()  # peers that have the present digest
         self.heard: dict[int, tuple[int, int]] = {}  # by sender: its last digest and when that came
         self.seen: dict[str, Seen] = {}
+        self.failed: dict[str, int] = {}  # when it last failed here, with no answer since
         self.occup, self.samples, self.closed_us = 0.0, 0, 0
 
     def add_answer(self, name: str, lag: float) -> None:
         seen = self.seen.setdefault(name, Seen())
+        self.failed.pop(name, None)
         seen.lags, seen.oks = seen.lags + lag, seen.oks + 1
 
-    def add_failure(self, name: str) -> None:
+    def add_failure(self, name: str, now: int, lasts: bool) -> None:
+        """`lasts` where it is turned away or nobody is there, which is not a matter of one attempt."""
         self.seen.setdefault(name, Seen()).fails += 1
+        if lasts:
+            self.failed[name] = now
 
     def add_signal(self, occup: float) -> None:
         self.occup, self.samples = self.occup + occup, self.samples + 1
@@ -61,6 +68,10 @@
             return
         self.closed_us, self.digest = now, None
         self.told.clear()
+        self.failed = {name: at for name, at in self.failed.items() if now - at < FAILURE_US}
+        for name in self.failed:
+            seen = self.seen.setdefault(name, Seen())
+            seen.fails = max(1, seen.fails)
         out = {name: count for name, count in outs if count}
         if self.seen or self.samples or out:
             self.serial = (self.serial + 1) % SERIALS
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -60,7 +60,7 @@
     def __init__(self, entry: i.Server) -> None:
         self.entry, self.mark = entry, mark(entry.name)
         self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
-        self.heard_us = self.avoid_until = self.next_us = self.backoff_us = 0
+        self.heard_us = self.avoid_until = self.next_us = self.backoff_us = self.suspect_us = 0
         self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
         self.connections = 0  # that should be open: as many as were out at once, less those that broke
         self.lag = 0.0  # mean latency over the aim, for all gateways together
@@ -288,7 +288,7 @@
     def measure_capacity(self) -> float:
         """Servers that are suspect can do nothing, those that are cold a part. By how much that is more or
         less than before, so much more or less is N: occupancy tells of it only when a jam has built up."""
-        return sum(self.warmth(server) for server in self.up if not server.on_trial)
+        return sum(self.part(server) for server in self.up if not server.on_trial)
 
     def forget_customers(self) -> None:
         """One whose stores are full again is as good as new; those that came only once would never end."""
@@ -503,7 +503,7 @@
             if note.fails and not note.oks:
                 server.fails += PEER_PART * note.fails - 1
                 self.note_result(server, False)
-            elif note.oks and not note.fails:
+            elif note.oks and not note.fails and self.now >= server.avoid_until:
                 self.note_result(server, True)
 
     def note_lag(self, server: _Server, lag: float, answers: int) -> None:
@@ -518,8 +518,8 @@
         usable = [server for server in allowed if now >= server.avoid_until and server not in job.servers
                   and not (server.on_trial and (server.out or not trial))] or allowed
         # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
-        room = [server for server in usable if (warmth := self.warmth(server)) >= 1 or (
-            now >= server.next_us and self.random.random() < warmth)]
+        room = [server for server in usable if (part := self.part(server)) >= 1 or (
+            now >= server.next_us and self.random.random() < part)]
         if few:
             return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
         looked_at = self.random.sample(room, min(CHOICES_OF_MANY, len(room)))
@@ -553,6 +553,13 @@
         age, cold = (self.now - server.warm_from) / max(1, self.set.warm_within_us), self.set.cold_from
         return 1.0 if age >= 1 or not server.warm_from else cold + (1 - cold) * age
 
+    def part(self, server: _Server) -> float:
+        """The part of what a warm server is sent that this one may have. Where many gateways spread it thin,
+        that rises ahead of the least that it can do by now, as it is far from fall_multiple times that."""
+        warmth = self.warmth(server)
+        few = self.set.gateways <= FEW_GATEWAYS
+        return warmth if few else min(1.0, 2 * warmth - min(warmth, self.set.cold_from))
+
     def spacing(self, server: _Server) -> int:
         """A server that started or came back gets its part of what others are sent here, spaced out. Where
         that is an attempt in many seconds, to wait for so long after each would leave it idle."""
@@ -561,15 +568,17 @@
         usual = max(1 / self.set.gateways, self.rate / max(1, len(self.up)))
         return round(S / max(0.01, self.warmth(server)) / usual)
 
-    def note_result(self, server: _Server, ok: bool) -> None:
-        """Any kind of failure makes a server suspect; it comes back by a trial, then by the cold ramp."""
+    def note_result(self, server: _Server, ok: bool, sent_us: int = NEVER) -> None:
+        """Any kind of failure makes a server suspect; it comes back by a trial, then by the cold ramp. What
+        was sent before is no trial: one that drains still answers that."""
         server.fails = server.fails / 2 if ok else server.fails + 1
-        if ok and server.on_trial:
+        if ok and server.on_trial and sent_us >= server.suspect_us:
             server.on_trial, server.backoff_us, server.fails = False, 0, 0.0
             server.warm_from = max(server.warm_from, self.now - self.set.warm_within_us // 2)
         elif not ok and (server.fails >= SUSPECT_AT or server.on_trial) and self.now >= server.avoid_until:
             server.backoff_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.backoff_us * 2))
             server.avoid_until, server.on_trial = self.now + server.backoff_us, True
+            server.suspect_us = self.now
 
     def note_broken(self, server: _Server) -> None:
         """It is there, but an answer was spoilt or a connection ended, as any may now and then: only one
@@ -652,13 +661,14 @@
         if result is i.Result.FULL:
             server.avoid_until = max(server.avoid_until, self.now + AVOID_US)
             if self.set.gateways > FEW_GATEWAYS:  # as one that drains, and the list is late
-                self.fleet.add_failure(server.entry.name)
+                self.fleet.add_failure(server.entry.name, self.now, True)
         elif result in (i.Result.SPOILT, i.Result.RESET):
             self.note_broken(server)
         elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
             if result is not i.Result.OK:
-                self.fleet.add_failure(server.entry.name)
-            self.note_result(server, result is i.Result.OK)
+                nobody = result is i.Result.CONNECT_FAILED
+                self.fleet.add_failure(server.entry.name, self.now, nobody)
+            self.note_result(server, result is i.Result.OK, self.now - took)
 
     def end(self, job: _Job, wait_us: int = NEVER) -> None:
         """Its client is told when to come again: as late as it would, unless said otherwise."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,7 @@
     fleet = Fleet(39, 255)
     fleet.add_answer("s0", 0.2)
     fleet.add_answer("s0", 0.4)
-    fleet.add_failure("s1")
+    fleet.add_failure("s1", 0, False)
     fleet.add_signal(0.5)
     fleet.close(DIGEST_US, [("s0", 0), ("s1", 0), ("s2", 3)])
     digest = fleet.news_for(7)
@@ -30,6 +30,20 @@
     assert fleet.news_for(7) is None  # there was nothing
 
 
+def test_a_server_where_nobody_is_stays_in_digests_until_it_answers_or_for_a_while() -> None:
+    fleet = Fleet(39, 0)
+    fleet.add_failure("gone", 0, True)
+    fleet.add_failure("back", 0, True)
+    fleet.add_failure("once", 0, False)
+    told_of = []
+    for number in range(1, 6):
+        fleet.close(number * DIGEST_US, [])
+        told_of.append({note.server for note in fleet.digest.notes if note.fails} if fleet.digest else set())
+        fleet.add_answer("back", 0.1)
+    both = {mark("gone"), mark("back")}
+    assert told_of == [both | {mark("once")}, {mark("gone")}, {mark("gone")}, set(), set()]
+
+
 def test_a_digest_that_comes_twice_counts_once_until_serials_come_round() -> None:
     fleet, digest = Fleet(39, 0), i.Digest(9, 0.5, 1, (i.Note(5, out=2),))
     assert fleet.is_new(3, digest, S)
@@ -80,6 +94,23 @@
     assert "s3" in sends(lost)
 
 
+def test_answers_to_what_was_sent_before_end_no_suspicion() -> None:
+    """A server that drains turns new work away, and goes on answering the old."""
+    world = World(MANY, servers(4))
+    server = world.gateway.servers["s3"]
+    world.run(S)
+    server.fails = 5.0
+    world.gateway.note_result(server, False)
+    assert server.on_trial
+    world.gateway.note_result(server, True, world.now - 1)
+    assert server.on_trial
+    told(world, 1, i.Note(mark("s3"), lag=0.1, oks=2))
+    assert server.on_trial
+    world.run(1100 * MS)
+    told(world, 2, i.Note(mark("s3"), lag=0.1, oks=1))  # a peer's trial
+    assert not server.on_trial
+
+
 def test_many_gateways_make_a_few_trials_however_many_servers_are_suspect() -> None:
     """A trial goes first; were each suspect server tried as it is due, all that is sent would go there."""
     world = World(MANY, servers(40))
