Drop what was seen and told to nobody

Seen in review: a digest is closed when there is a word to send. A gateway that has none (alone, or where messages are not allowed) would keep an entry for every server that it ever met, and tell of it all much later as news.

--- a/fennelwinch/fleet.py
+++ b/fennelwinch/fleet.py
@@ -113,10 +113,14 @@
         self.outs[sender] = now, notes
 
     def forget(self, now: int) -> None:
-        """What was told long ago is not out any more, or its sender has gone."""
+        """What was told long ago is not out any more, or its sender has gone; what was seen here long ago,
+        with no word to send in all that time, is no news, and would grow with every server that comes."""
         for sender in [sender for sender, (at, _) in self.outs.items() if now - at > FRESH_US]:
             self.take_outs(sender, now, ())
             del self.outs[sender]
+        if now - self.closed_us > FRESH_US:
+            self.closed_us, self.digest, self.seen, self.failed = now, None, {}, {}
+            self.occup, self.samples = 0.0, 0
 
     def out_at(self, server: int) -> float:
         """Attempts that peers have out at a server, by its mark; those not heard of are taken for alike."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -64,6 +64,20 @@
     assert fleet.out_at(6) == 0.0 and not fleet.load and not fleet.outs
 
 
+def test_what_nobody_is_told_does_not_pile_up() -> None:
+    """A gateway with no word to send meets new servers for as long as it lives."""
+    world = World(replace(SETTINGS, may_tell=False, plans=(i.Plan(),)), ())
+    for number in range(100):
+        entry = replace(servers(1)[0], name=f"x{number}")
+        world.tell(i.ServerList(i.ListKind.FULL, number, (entry,)))
+        world.gateway.fleet.add_failure(entry.name, world.now, True)
+        world.ask(f"a{number}")
+        world.answer(f"a{number}")
+        world.run(500 * MS)
+    fleet = world.gateway.fleet
+    assert len(fleet.seen) < 12 and len(fleet.failed) < 12
+
+
 def test_names_with_one_mark_are_told_of_by_nobody() -> None:
     names = [f"s{number}" for number in range(70_000)]
     known = by_mark(names)
