Add bench, a load harness that measures what a request costs

Need: the counters tell of one process; nothing here could put a load on a front door, nor compare two revisions of it on a machine that is noisy.

A front door is started in a process group of its own, which is gone at the end in any case.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,106 @@
+"""The harness's commands."""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import Any, NoReturn
+
+from bench import cost
+from bench.errors import BenchError
+from bench.loads import LOADS
+from bench.process import ROOT, check_port, prepare, revision
+
+MOST_PAIRS = 100
+
+
+class Parser(argparse.ArgumentParser):
+    """Bad input is one plain line."""
+
+    def error(self, message: str) -> NoReturn:
+        raise BenchError(message)
+
+
+def whole(most: int) -> Any:  # noqa: ANN401 - argparse takes any callable
+    def read(text: str) -> int:
+        if not text.isascii() or not text.isdigit() or len(text) > 12 or not 1 <= int(text) <= most:
+            raise argparse.ArgumentTypeError(f"'{text}' is no whole number from 1 to {most}")
+        return int(text)
+
+    return read
+
+
+def parser() -> Parser:
+    found = Parser(prog="bench", description="What a front door costs, on loopback, with stand-ins.")
+    commands = found.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    costs = commands.add_parser("cost", help="processor time, memory and descriptors of requests")
+    costs.add_argument("--load", action="append", metavar="NAME", help=f"of {', '.join(LOADS)}; default: all")
+    costs.add_argument("--seed", type=whole(1 << 30), default=1, metavar="N")
+    costs.add_argument("--requests", type=whole(cost.MOST_REQUESTS), metavar="N", help="of each load")
+    costs.add_argument("--port", type=whole(65535), default=0, metavar="N", help="for the front door")
+    costs.add_argument("--json", type=Path, metavar="FILE", help="keep the figures")
+    costs.add_argument("--against", metavar="REV", help="play another revision in turns with this tree")
+    costs.add_argument("--pairs", type=whole(MOST_PAIRS), default=5, metavar="N", help="of plays")
+    return found
+
+
+async def run_cost(args: argparse.Namespace) -> None:
+    unknown = [name for name in args.load or () if name not in LOADS]
+    if unknown:
+        raise BenchError(f"unknown load '{unknown[0]}'; known are {', '.join(LOADS)}")
+    loads = [cost.fitting(LOADS[name], args.requests) for name in args.load or LOADS]
+    if args.port:
+        check_port(args.port)
+    if args.json:
+        check_writable(args.json)
+    with contextlib.ExitStack() as stack:
+        theirs = stack.enter_context(revision(args.against)) if args.against else None
+        ours = prepare(ROOT)
+        if theirs is None:
+            plays = await cost.costs(ours, loads, args.seed, args.port)
+            print(cost.cost_table(plays))
+            kept: Any = {"seed": args.seed, "plays": cost.as_json(plays)}
+        else:
+            found = await cost.pairs(ours, theirs, loads, args.seed, args.port, args.pairs)
+            rows = cost.differences(found)
+            print(cost.difference_table(rows, args.against))
+            kept = {"seed": args.seed, "against": args.against, "differences": rows,
+                    "here": cost.as_json(ours for ours, _ in found),
+                    "there": cost.as_json(theirs for _, theirs in found)}
+    if args.json:
+        args.json.write_text(json.dumps(kept, indent=1) + "\n")
+
+
+def check_writable(path: Path) -> None:
+    """Before anything is played for nothing."""
+    try:
+        with path.open("a"):
+            pass
+    except OSError as error:
+        raise BenchError(f"cannot write {path}: {error.strerror}") from error
+
+
+async def until_told(args: argparse.Namespace) -> None:
+    """Run the command; SIGTERM ends it as Ctrl-C does, with all that it started."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    await run_cost(args)
+
+
+def main() -> int:
+    try:
+        asyncio.run(until_told(parser().parse_args()))
+    except BenchError as error:
+        print(f"bench: {error}", file=sys.stderr)
+        return 2
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        print("bench: ended before its time", file=sys.stderr)
+        return 130
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/loads.py
@@ -0,0 +1,35 @@
+"""The loads of the cost runs: what is asked, of what fleet, at which rate."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """A bounded load. Requests come open-loop, at gaps drawn from the seed."""
+
+    name: str
+    says: str
+    requests: int
+    rate: float  # requests a second
+    pipelined: int = 1  # written at once on one connection
+    idle: int = 0  # connections that have asked once and stay
+    servers: int = 8
+    slots: int = 4  # requests that a scan server works on at once
+    waiting: int = 16  # and that wait there; more are turned away
+    work_ms: float = 8.0  # the mean of a request's work
+    replace_every_s: float = 0.0  # a scan server is drained and a new one comes; 0: never
+
+    @property
+    def capacity(self) -> float:
+        """Requests a second that the scan servers can do."""
+        return self.servers * self.slots * 1000 / self.work_ms
+
+
+LOADS = {load.name: load for load in (
+    Load("steady", "one request at a time on each connection", requests=2000, rate=400),
+    Load("idle", "the same, beside many connections that have gone quiet", requests=2000, rate=400, idle=500),
+    Load("pipelined", "eight commands written at once", requests=2000, rate=400, pipelined=8),
+    Load("overload", "half as much again as the scan servers can do", requests=2000, rate=600,
+         slots=1, waiting=8, work_ms=20.0),
+    Load("churn", "scan servers are replaced all the time", requests=2000, rate=400, replace_every_s=0.25),
+)}
--- /dev/null
+++ b/bench/process.py
@@ -0,0 +1,206 @@
+"""A front door as a process: a tree of sources, its start by the deploy file, and figures from outside."""
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import signal
+import socket
+import subprocess
+import tarfile
+import tomllib
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from bench.callers import PING, Caller
+from bench.errors import BenchError
+from bench.standins import HOST, Address
+
+READY_S = 20.0  # for a front door to answer PING: machines may be slow
+END_S = 10.0  # for its drain
+BUILD_S = 300.0
+LINE_S = 5.0  # for the line on costs to come
+LOOK_S = 0.02  # between looks at whether it is ready
+ROOT = Path(__file__).resolve().parent.parent
+KIB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Tree:
+    """Sources that can be built and started by their deploy file."""
+
+    root: Path
+    run: str
+    tells_costs: bool  # whether SIGUSR1 brings a line; else it would end the process
+
+
+def git(*words: str) -> bytes:
+    done = subprocess.run(["git", "-C", str(ROOT), *words], capture_output=True, check=False)
+    if done.returncode:
+        raise BenchError(f"git {words[0]}: {done.stderr.decode().strip().splitlines()[-1]}")
+    return done.stdout
+
+
+def prepare(root: Path) -> Tree:
+    """Build a tree."""
+    try:
+        deploy = tomllib.loads((root / "deploy" / "balancer.toml").read_text())
+        build, run = deploy["build"], deploy["run"]
+    except (OSError, ValueError, KeyError) as error:
+        raise BenchError(f"no usable deploy file in {root}: {error}") from error
+    try:
+        done = subprocess.run(["/bin/sh", "-c", build], cwd=root, capture_output=True, check=False,
+                              timeout=BUILD_S)
+    except subprocess.TimeoutExpired:
+        raise BenchError(f"the build took more than {BUILD_S:.0f} s") from None
+    if done.returncode:
+        lines = (done.stderr or done.stdout).decode(errors="replace").strip().splitlines()
+        raise BenchError(f"the build failed: {lines[-1] if lines else 'it said nothing'}")
+    return Tree(root, run, (root / "molereach" / "costs.py").exists())
+
+
+@contextlib.contextmanager
+def revision(name: str) -> Iterator[Tree]:
+    """Another revision, in a folder of its own; with our packages where it asks for the same."""
+    if name.startswith("-"):
+        raise BenchError(f"'{name}' is no revision")
+    try:
+        commit = git("rev-parse", "--verify", "--quiet", f"{name}^{{commit}}").decode().strip()
+    except (BenchError, IndexError):
+        raise BenchError(f"there is no revision '{name}'") from None
+    with TemporaryDirectory(prefix="bench-") as folder:
+        root = Path(folder)
+        with tarfile.open(fileobj=io.BytesIO(git("archive", commit))) as archive:
+            archive.extractall(root, filter="data")
+        ours = ROOT / ".venv"
+        same = (root / "requirements.txt").read_bytes() == (ROOT / "requirements.txt").read_bytes()
+        if same and ours.exists():
+            (root / ".venv").symlink_to(ours)
+        yield prepare(root)
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """One that nobody has at the moment."""
+    try:
+        with socket.socket(socket.AF_INET, kind) as found:
+            found.bind((HOST, 0))
+            return found.getsockname()[1]
+    except OSError as error:
+        raise BenchError(f"no port is free: {error.strerror}") from error
+
+
+def check_port(port: int) -> None:
+    try:
+        with socket.socket() as found:
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            found.bind((HOST, port))
+    except (OSError, OverflowError) as error:
+        raise BenchError(f"port {port} is not free: {getattr(error, 'strerror', None) or error}") from error
+
+
+class Process:
+    """A front door that runs; its figures are the system's own."""
+
+    def __init__(self, process: asyncio.subprocess.Process, log: Path, address: Address) -> None:
+        self.process, self.log, self.address = process, log, address
+        self.proc = Path("/proc") / str(process.pid)
+
+    def processor_us(self) -> float:
+        """Used so far by all its threads."""
+        try:
+            threads = list((self.proc / "task").iterdir())
+            return sum(int((thread / "schedstat").read_text().split()[0]) for thread in threads) / 1e3
+        except (OSError, ValueError, IndexError):
+            pass
+        try:
+            fields = (self.proc / "stat").read_text().rpartition(")")[2].split()
+            return (int(fields[11]) + int(fields[12])) * 1e6 / os.sysconf("SC_CLK_TCK")
+        except (OSError, ValueError, IndexError) as error:
+            raise BenchError(f"the front door has ended: {self.last_line()}") from error
+
+    def resident(self) -> int:
+        try:
+            for line in (self.proc / "status").read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) * KIB
+        except OSError:
+            pass
+        raise BenchError(f"the front door has ended: {self.last_line()}")
+
+    def descriptors(self) -> int:
+        try:
+            return len(os.listdir(self.proc / "fd"))
+        except OSError:
+            raise BenchError(f"the front door has ended: {self.last_line()}") from None
+
+    def lines(self) -> list[str]:
+        return self.log.read_text(errors="replace").splitlines()
+
+    def last_line(self) -> str:
+        return next(iter(reversed(self.lines())), "it said nothing")
+
+    def cost_lines(self) -> list[dict[str, Any]]:
+        return [json.loads(line.partition(" costs ")[2]) for line in self.lines() if " costs {" in line]
+
+    async def costs(self) -> dict[str, Any]:
+        """What it says of its own costs by now."""
+        known = len(self.cost_lines())
+        self.process.send_signal(signal.SIGUSR1)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINE_S):
+                while len(self.cost_lines()) == known:
+                    await asyncio.sleep(LOOK_S)
+                return self.cost_lines()[known]
+        raise BenchError("the front door does not tell its costs")
+
+    async def ready(self) -> None:
+        """Wait until it answers PING."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READY_S):
+                while self.process.returncode is None:
+                    try:
+                        caller = await Caller.open(self.address)
+                    except OSError:
+                        await asyncio.sleep(LOOK_S)
+                        continue
+                    word = await caller.ask([PING])[0]
+                    caller.close()
+                    if word == "pong":
+                        return
+        raise BenchError(f"the front door did not start: {self.last_line()}")
+
+    async def end(self) -> None:
+        """Drain it; what is left of its group after that is killed."""
+        with contextlib.suppress(ProcessLookupError, TimeoutError):
+            self.process.terminate()
+            await asyncio.wait_for(self.process.wait(), END_S)
+
+    def kill(self) -> None:
+        with contextlib.suppress(ProcessLookupError, PermissionError):
+            os.killpg(self.process.pid, signal.SIGKILL)
+
+
+@contextlib.asynccontextmanager
+async def front_door(tree: Tree, config: dict[str, Any], folder: Path) -> AsyncIterator[Process]:
+    """A front door that serves; it is gone at the end, whatever happens in between."""
+    file, log = folder / "config.json", folder / "log"
+    file.write_text(json.dumps(config))
+    env = {name: text for name, text in os.environ.items() if not name.startswith("PROXY_")}
+    host, _, port = config["listen"].rpartition(":")
+    with log.open("wb") as output:
+        process = await asyncio.create_subprocess_shell(
+            tree.run, cwd=tree.root, env={**env, "PROXY_CONFIG": str(file)}, stdin=asyncio.subprocess.DEVNULL,
+            stdout=output, stderr=output, start_new_session=True,  # a group of its own, ended as one
+        )
+    found = Process(process, log, (host, int(port)))
+    try:
+        await found.ready()
+        yield found
+        await found.end()
+    finally:
+        found.kill()
+        await process.wait()
