--- a/bench/loads.py
+++ b/bench/loads.py
@@ -31,5 +31,7 @@
     Load("pipelined", "eight commands written at once", requests=2000, rate=400, pipelined=8),
     Load("overload", "half as much again as the scan servers can do", requests=2000, rate=600,
          slots=1, waiting=8, work_ms=20.0),
+    Load("wide", "few requests, spread over the scan servers of the whole fleet", requests=2000, rate=400,
+         servers=200),
     Load("churn", "scan servers are replaced all the time", requests=2000, rate=400, replace_every_s=0.25),
 )}
