Do not load pathlib for one file

Seen: of 13.4 MB of a front door's own memory at its start, 0.7 are pathlib and what it brings (urllib.parse, ipaddress, fnmatch, ntpath): RssAnon of asyncio and uvloop 10.57 MB, with pathlib 11.24. It served to read the configuration and two files of the system's figures.

Change: open. A test holds that the start does not load it.

--- a/molereach/config.py
+++ b/molereach/config.py
@@ -3,7 +3,6 @@
 import json
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 from fennelwinch import interface as i
@@ -116,7 +115,8 @@
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
     try:
-        values = json.loads(Path(path).read_bytes())
+        with open(path, "rb") as file:  # pathlib would be loaded for this alone, and stay
+            values = json.loads(file.read())
     except (OSError, ValueError) as error:
         raise ConfigError(f"cannot read the configuration: {' '.join(str(error).split())}") from error
     try:
--- a/molereach/costs.py
+++ b/molereach/costs.py
@@ -9,7 +9,6 @@
 import os
 import time
 from collections.abc import Callable, Mapping
-from pathlib import Path
 from typing import Any, ParamSpec, TypeVar
 
 P, R, T = ParamSpec("P"), TypeVar("R"), TypeVar("T", bound=type)
@@ -22,8 +21,8 @@
 PEERS = "peers"
 REST = "rest"  # the loop, its system calls and its timers, and what has no stage of its own
 
-DESCRIPTORS = Path("/proc/self/fd")
-STATUS = Path("/proc/self/status")
+DESCRIPTORS = "/proc/self/fd"
+STATUS = "/proc/self/status"
 RESIDENT = {"VmRSS": "resident_bytes", "VmHWM": "resident_most_bytes"}
 KIB = 1024  # the system's figures on memory are in these
 
@@ -113,8 +112,8 @@
 def resident() -> dict[str, int]:
     """Resident memory now and at most, as far as the system tells."""
     found = {}
-    with contextlib.suppress(OSError, ValueError):
-        for line in STATUS.read_text().splitlines():
+    with contextlib.suppress(OSError, ValueError), open(STATUS) as lines:
+        for line in lines:
             name, _, text = line.partition(":")
             if name in RESIDENT:
                 found[RESIDENT[name]] = int(text.split()[0]) * KIB
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import gc
+import subprocess
+import sys
 import tracemalloc
 from collections.abc import Callable
 from dataclasses import replace
@@ -152,3 +154,11 @@
 
     run(job())
 
+
+
+def test_start_loads_no_module_for_little() -> None:
+    """What is loaded stays for good, in each of the fleet's front doors."""
+    code = ("import sys, molereach.__main__\n"
+            "print([name for name in ('pathlib', 'urllib', 'email') if name in sys.modules])")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
