Give connections and their readers slots in place of dictionaries

Seen: with its replies in a list, a quiet client connection still takes 216 bytes for itself and its dictionary and 85 for its reader (tracemalloc).

Change: slots for ClientConnection, Connection and the readers.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -132,6 +132,8 @@
 class Connection(asyncio.Protocol):
     """A connection to a backend with at most one command on it."""
 
+    __slots__ = ("age", "attempt", "heard_us", "idle_since", "paused", "pool", "reader", "transport")
+
     def __init__(self, pool: "Pool") -> None:
         self.pool, self.heard_us = pool, 0
         self.idle_since: int | None = None  # None: it has had no request
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -211,6 +211,9 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection; answers leave in the order of its commands."""
 
+    __slots__ = ("asked", "clients", "clogged", "closing", "errors", "known", "more", "processing", "reader",
+                 "reading", "replies", "scheduled", "since_us", "state", "transport", "until_us")
+
     def __init__(self, clients: "Clients") -> None:
         self.clients = clients
         self.reader = CommandReader()
--- a/molereach/resp.py
+++ b/molereach/resp.py
@@ -38,6 +38,8 @@
 class Reader:
     """A stream of bytes, cut into parts of known forms."""
 
+    __slots__ = ("buffer",)
+
     def __init__(self) -> None:
         self.buffer = bytearray()
 
@@ -88,6 +90,8 @@
 class CommandReader(Reader):
     """Cuts what a client sends into commands: arrays of bulk strings."""
 
+    __slots__ = ()
+
     def next(self) -> list[bytes] | None:
         """The next command; None if it is not whole."""
         return self.plain() or self.careful()
@@ -143,6 +147,8 @@
 class AnswerReader(Reader):
     """Cuts what a backend sends into answers: `[value, figures on use, load report]` or an error line."""
 
+    __slots__ = ()
+
     def next(self) -> Answer | None:
         """The next answer; None if it is not whole."""
         return self.plain() or self.careful()
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -20,8 +20,8 @@
 
 ROOT = Path(__file__).parent.parent
 # Bytes in the program's own lines for a connection that has gone quiet, the transport included. As measured:
-# 1,750 with uvloop 0.23 (2,450 with a deque for its replies); the rest is room for other versions.
-IDLE_CONNECTION = 2200
+# 1,600 with uvloop 0.23 (2,450 with a deque for its replies, 1,750 with no slots); the rest is room.
+IDLE_CONNECTION = 2000
 # Of a customer seen once, in the module: about 650, and room for dictionaries that have just grown.
 CUSTOMER = 1200
 
