Keep one timer of the module's at a time

Seen: an idle module has a timer for the end of its period; a request sets a nearer one, and the older stays for up to a second and then wakes the module for nothing. After 20 settings, 21 timers are pending (probe over the living handles of the loop).

Change: the front door replaces the timer of a token by the one set last, as the module never waits for an older one.

--- a/bench/loads.py
+++ b/bench/loads.py
@@ -27,6 +27,7 @@
 
 LOADS = {load.name: load for load in (
     Load("steady", "one request at a time on each connection", requests=2000, rate=400),
+    Load("thin", "as few as a front door of a large fleet sees", requests=400, rate=40),
     Load("idle", "the same, beside many connections that have gone quiet", requests=2000, rate=400, idle=500),
     Load("pipelined", "eight commands written at once", requests=2000, rate=400, pipelined=8),
     Load("overload", "half as much again as the scan servers can do", requests=2000, rate=600,
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -61,6 +61,7 @@
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
+        self.timers: dict[int, asyncio.TimerHandle] = {}  # by token: the module has one of each at most
         self.address = config.listen
         memory = config.memory_mb << 20
         self.most_held = round(memory * HELD_SHARE)
@@ -290,6 +291,10 @@
         return exchange
 
     def set_timer(self, action: i.SetTimer) -> None:
+        """Of each token the module waits for the timer that it set last: an older one, which is due later,
+        would wake it for nothing."""
+        if older := self.timers.pop(action.token, None):
+            older.cancel()
         self.ring(now_us() + action.delay_us, action.token)
 
     def ring(self, due_us: int, token: int) -> None:
@@ -297,8 +302,9 @@
         and, as it takes it for still set, never set another."""
         left = due_us - now_us()
         if left > 0:
-            self.loop.call_later(max(1000, left) / 1e6, self.ring, due_us, token)
+            self.timers[token] = self.loop.call_later(max(1000, left) / 1e6, self.ring, due_us, token)
         else:
+            self.timers.pop(token, None)
             self.post(i.Timer(token))
 
     def log_line(self, action: i.Log) -> None:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -10,12 +10,14 @@
 from pathlib import Path
 
 import pytest
+import uvloop
 
+from fennelwinch import interface as i
 from fennelwinch.rules import _Job
 from molereach import backends
 from molereach.backends import Attempt
 from molereach.frontdoor import Exchange
-from tests.helpers import PLAN, SETTINGS, S, World, servers
+from tests.helpers import MS, PLAN, SETTINGS, S, World, servers
 from tests.sockets import Backend, Client, front_door, query, run, value
 
 ROOT = Path(__file__).parent.parent
@@ -162,3 +164,21 @@
             "print([name for name in ('pathlib', 'urllib', 'email') if name in sys.modules])")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
+
+
+def test_module_has_one_timer_at_a_time() -> None:
+    """An idle one waits for the end of its period; each request sets a nearer one, which takes its place."""
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, _):
+            for _ in range(10):
+                door.set_timer(i.SetTimer(900 * MS, 0))
+                door.set_timer(i.SetTimer(500 * MS, 0))
+            pending = [found for found in living(uvloop.loop.TimerHandle) if "FrontDoor.ring" in repr(found)]
+            assert len(pending) == 1 and list(door.timers) == [0]
+            rung: list[i.Event] = []
+            door.post = rung.append
+            door.set_timer(i.SetTimer(0, 0))
+            assert rung == [i.Timer(0)] and not door.timers
+
+    run(job())
