Keep one time budget for a request, from its taking to the last attempt

Need: a request's time was kept in several places. The command for a scan server was made before its connection was up (FrontDoor.send gave Attempt a payload), so that its d told more than was left once a handshake was done; what lay unread while the loop was late, or behind others on its connection, was charged to nobody; after SIGTERM a request could outlast the end by force.

Change: molereach/budget.py holds an immutable Budget: when time is up on the monotonic clock, whether client or drain set that, and what each stage took. It is made once, when a request is taken, less the margin, which is taken off here only; the module's time (counted from the batch that hands it over), the back-stop, each attempt's end and its d follow from it. d is what is left when the first bytes are handed to the kernel; with less than a millisecond nothing is written, and the attempt ends as MOOT, never run. Time unread is estimated: half of the time by which an own timer is overdue when the bytes are read, half of the time for which the connection was not read, and all of the time that the command then waited behind others; never below nothing, never more than was given. A drain tells the module (Draining) what it leaves, and caps open requests, their attempts and back-stops. The cost line and the log tell, of requests that failed or were answered past their aim, which stage took the time.

--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -206,6 +206,13 @@
     id: str
 
 
+@dataclass(frozen=True, slots=True)
+class Draining:
+    """The gateway ends soon: no request, open or new, may last longer than this from now."""
+
+    left_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Timer:
     """A timer that the gateway set has come due."""
@@ -289,7 +296,8 @@
 
 
 Event = (
-    ServerList | Request | StreamStarted | Outcome | ClientGone | Timer | ProbeResult | PeerMessage | Counted
+    ServerList | Request | StreamStarted | Outcome | ClientGone | Draining | Timer | ProbeResult | PeerMessage
+    | Counted
 )
 
 
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -152,6 +152,10 @@
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
         self.granted_until = -NEVER  # from the home's part of the ceiling
 
+    def end_by(self, end_us: int) -> None:
+        self.end_us = min(self.end_us, end_us)
+        self.aim_us = min(self.aim_us, self.end_us)
+
     def may_refuse(self) -> bool:
         keyed_ok = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
         return self.ran_on is None or self.rule.effect is i.Effect.SAFE or keyed_ok
@@ -166,6 +170,7 @@
         self.sets: dict[tuple[int, int], tuple[int, int, int, int]] = {}  # under which a customer came first
         self.jobs, self.held = {}, []  # by id; highest worth first, then by arrival
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
+        self.last_us = NEVER  # until when requests may last
         self.since_us, self.forget_us = 0, max(LEAST_KEPT_US, *map(full_again_us, settings.plans))
         self.unanswered, self.asked_us = {}, {}  # by peer: the first ask without a word since; the last ask
         self.waits, self.words, self.told_us = [], {}, {}  # who waits for word; peers' words, when they left
@@ -187,7 +192,7 @@
         self.told_occup, self.told_samples = 0.0, 0  # the signal as peers told of it in this period
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
-                   i.ClientGone: self.on_end, i.StreamStarted: self.on_end}
+                   i.ClientGone: self.on_end, i.StreamStarted: self.on_end, i.Draining: self.on_draining}
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
@@ -222,9 +227,18 @@
         customer = self.customer(key)
         rule = self.set.classes[req.class_index]
         job = self.jobs[req.id] = _Job(req, rule, customer, self.now, self.gone_us(req))
+        job.end_by(self.last_us)
         if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
             self.admit(job)
 
+    def on_draining(self, event: i.Draining) -> None:
+        """What is held and cannot be answered in that is refused now, as a later word would serve nobody."""
+        self.last_us = self.now + event.left_us
+        for job in list(self.jobs.values()):
+            job.end_by(self.last_us)
+            if not job.servers:
+                self.expire(job, NEEDED_HELD)
+
     def gone_us(self, req: i.Request) -> int:
         """How long ago the client first asked, at least: a retry has that much less of its time left.
 
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -20,6 +20,8 @@
 IDLE_SHARE = 0.5  # of the backend's idle time: a request that crosses its close would end as a reset
 REST_US = 5_000  # before a connection is used again: what a backend sends behind an answer comes by then
 
+LEAST_LEFT_US = 1_000  # the least that `d` can tell: with less, nothing is written
+
 AGES = 24  # of kept connections, by the doubling of milliseconds; the first is that of new ones
 STALE_MARGIN = 0.1  # how much more often than new ones connections of an age may be reset and still be used
 LEAST_USES = 5.0  # of one age, before anything is made of it
@@ -35,13 +37,17 @@
 class Attempt:
     """One command for one backend; `done` is called once, with how it ended."""
 
-    __slots__ = ("connection", "done", "number", "over", "payload", "pool", "request_id", "sent_us",
-                 "server", "timer", "written")
+    __slots__ = ("connection", "done", "end_us", "number", "over", "payload", "pool", "request_id", "sent_us",
+                 "server", "timer", "written", "written_us")
 
-    def __init__(self, request_id: str, number: int, server: str, payload: bytes, done: Done) -> None:
+    def __init__(
+        self, request_id: str, number: int, server: str, payload: Callable[[int], bytes], done: Done
+    ) -> None:
+        """`payload` makes the command, given what is left of its time when it is written."""
         self.request_id, self.number, self.server = request_id, number, server
         self.payload, self.done = payload, done
         self.sent_us, self.over, self.written = now_us(), False, False
+        self.end_us = self.written_us = 0  # until when it is waited for; when its first bytes were written
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.pool: Pool | None = None
@@ -60,6 +66,13 @@
         """Stop waiting for it."""
         self.give_up(i.Result.CANCELLED)
 
+    def wait(self, left_us: int) -> None:
+        """It is waited for so long, and not for longer, however long it takes to connect and to write."""
+        if self.timer:
+            self.timer.cancel()
+        self.end_us = now_us() + left_us
+        self.timer = asyncio.get_running_loop().call_later(left_us / 1e6, self.time_out)
+
     def time_out(self) -> None:
         if self.written and self.pool:
             self.pool.doubt(self.sent_us)
@@ -150,10 +163,15 @@
 
     def send(self, attempt: Attempt) -> None:
         assert self.transport is not None
-        self.attempt, attempt.connection = attempt, self
+        now = now_us()
+        if attempt.end_us - now < LEAST_LEFT_US:
+            self.pool.rest(self)
+            attempt.finish(i.Result.MOOT)  # never run, and no fault of the backend's
+            return
+        self.attempt, attempt.connection, attempt.written_us = attempt, self, now
         self.pool.owner.costs.reused += self.idle_since is not None
-        self.age = Reuse.age(None if self.idle_since is None else now_us() - self.idle_since)
-        self.transport.write(attempt.payload)
+        self.age = Reuse.age(None if self.idle_since is None else now - self.idle_since)
+        self.transport.write(attempt.payload(attempt.end_us - now))
         attempt.written = not self.paused
 
     def pause_writing(self) -> None:
@@ -384,7 +402,7 @@
         if pool is None:
             attempt.finish(i.Result.CONNECT_FAILED)
             return
-        attempt.timer = asyncio.get_running_loop().call_later(timeout_us / 1e6, attempt.time_out)
+        attempt.wait(timeout_us)
         pool.start(attempt)
 
     def close_idle(self, name: str) -> None:
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -12,9 +12,11 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 
 from fennelwinch import interface as i
 from molereach.backends import now_us
+from molereach.budget import LATE_LEAST_US, Budget, to_text, unread_us
 from molereach.config import Address, Config
 from molereach.costs import CLIENTS, Costs
 from molereach.resp import CommandReader, ProtocolError, encode, has_unread
@@ -53,17 +55,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """A request as the module sees it, and the words to pass on."""
+    """A request as the module sees it once it is known what is left of its time, and the words to pass on."""
 
-    request: i.Request
+    id: str
+    class_index: int
+    request: Callable[..., i.Request]  # takes left_us
+    wait_us: int  # for how long its client said it would wait, from its sending on
     words: list[bytes]
     fields_head: bytes  # the list of names and values before and after the time that the client waits
     fields_tail: bytes
     size: int  # bytes of all words
 
-    def payload(self, wait_us: int) -> bytes:
+    def payload(self, left_us: int) -> bytes:
         """The command for a backend: unchanged but for how long this front door will wait."""
-        fields = b"%b%d%b" % (self.fields_head, max(1, wait_us // 1000), self.fields_tail)
+        fields = b"%b%b%b" % (self.fields_head, to_text(left_us), self.fields_tail)
         words = [*self.words[:3], fields, *self.words[4:]]
         return encode(words)
 
@@ -103,7 +108,7 @@
         bursts = [(plan.burst, plan.ceiling_burst) for plan in self.settings.plans]
         self.most_units = [max(1.0, min((b for b in both if b > 0), default=MOST_UNITS)) for both in bursts]
 
-    def parse(self, words: list[bytes], answer_margin_us: int) -> Command:
+    def parse(self, words: list[bytes]) -> Command:
         is_write = words[0] == b"SVC.SUBMIT"
         if not is_write and words[0] != b"SVC.QUERY":
             raise CommandError("unknown command")
@@ -118,15 +123,13 @@
         wait_ms = whole(values.get("d", ""), "time", 0, self.most_ms[number])
         size, first = self.customers_set(values)
         units = self.units(values, plan)
-        request = i.Request(
-            id=request_id, class_index=number, plan_index=plan, customer=customer,
-            left_us=max(0, wait_ms * 1000 - answer_margin_us), units=units,
-            set_size=size, set_first=first,
-            is_repeat=values.get("r") == "1", is_write=is_write,
+        request = partial(
+            i.Request, id=request_id, class_index=number, plan_index=plan, customer=customer, units=units,
+            set_size=size, set_first=first, is_repeat=values.get("r") == "1", is_write=is_write,
         )
         at = words[3].find(b"d=") if words[3].startswith(b"d=") else words[3].find(b",d=") + 1
-        return Command(request, words, words[3][: at + 2], words[3][at + 2 + len(values["d"]) :],
-                       sum(map(len, words)))
+        head, tail = words[3][: at + 2], words[3][at + 2 + len(values["d"]) :]
+        return Command(request_id, number, request, wait_ms * 1000, words, head, tail, sum(map(len, words)))
 
     def customer(self, word: bytes) -> str:
         if not HEX.fullmatch(word) or int(word, 16) >= CUSTOMERS:
@@ -170,11 +173,19 @@
 class Reply:
     """The place of one answer among those of its connection."""
 
-    __slots__ = ("connection", "data", "id")
+    __slots__ = ("budget", "connection", "data", "end_us", "id")
 
     def __init__(self, connection: "ClientConnection", data: bytes | None = None) -> None:
         self.connection, self.data = connection, data
         self.id: str | None = None  # of the request that it answers
+        # Of a request whose answer waits behind others: when its time is up, and what was spent of it by now.
+        self.end_us = 0
+        self.budget: Callable[[], Budget] | None = None
+
+    def waits(self) -> bool:
+        """Whether others have to leave before it."""
+        replies = self.connection.replies
+        return bool(replies) and replies[0] is not self
 
     def send(self, data: bytes) -> None:
         if self.data is None:
@@ -211,8 +222,9 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection; answers leave in the order of its commands."""
 
-    __slots__ = ("asked", "clients", "clogged", "closing", "errors", "known", "more", "processing", "reader",
-                 "reading", "replies", "scheduled", "since_us", "state", "transport", "until_us")
+    __slots__ = ("asked", "clients", "clogged", "closing", "errors", "known", "late_us", "more", "processing",
+                 "read_us", "reader", "reading", "replies", "resumed_us", "scheduled", "since_us", "state",
+                 "stopped_us", "transport", "until_us")
 
     def __init__(self, clients: "Clients") -> None:
         self.clients = clients
@@ -224,6 +236,9 @@
         self.more = self.scheduled = False  # whole commands may wait to be taken; that is due
         self.state, self.since_us = State.NEW, now_us()
         self.until_us = self.since_us + FIRST_US
+        self.read_us = self.late_us = 0  # when bytes last came, and by how much later than they might have
+        # Between these nothing was read, as too much was open; the second is 0 once bytes have come again.
+        self.stopped_us = self.resumed_us = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -235,6 +250,12 @@
     def buffer_updated(self, count: int) -> None:
         if not self.closing:
             self.reader.feed(self.clients.read_buffer[:count])
+            self.read_us = now = now_us()
+            self.late_us = self.clients.late_us(now)
+            if self.resumed_us:
+                if now - self.resumed_us < LATE_LEAST_US:  # they may have come in between
+                    self.late_us = max(self.late_us, now - self.stopped_us)
+                self.resumed_us = 0
             self.process()
 
     def process(self) -> None:
@@ -301,7 +322,10 @@
             return
         ready = []
         while self.replies and self.replies[0].data is not None:
-            ready.append(self.replies.pop(0).data)
+            reply = self.replies.pop(0)
+            ready.append(reply.data)
+            if reply.end_us:
+                self.clients.costs.note_behind(reply.end_us, reply.budget, now_us())
         if self.transport.is_closing():
             return
         if ready:
@@ -312,6 +336,11 @@
             self.process_soon()
         self.update()
 
+    def unread_us(self, now: int) -> int:
+        """How long a command that is taken now lay before its first look, by estimate: the loop may have been
+        late, its bytes may have stood behind what was open, and others that came with it went first."""
+        return unread_us(self.late_us, now - self.read_us)
+
     def finish(self, data: bytes) -> None:
         """A last answer, then close. What still comes is not read."""
         self.closing = True
@@ -335,8 +364,10 @@
         wanted = not (self.closing or self.more or self.clogged or len(self.replies) >= MOST_PIPELINED)
         if wanted and not self.reading:
             self.transport.resume_reading()
+            self.resumed_us = now_us()
         elif self.reading and not wanted:
             self.transport.pause_reading()
+            self.stopped_us = now_us()
         self.reading = wanted
         state = self.current_state()
         if state is not self.state:
@@ -410,7 +441,9 @@
     def __init__(
         self, most: int, most_bytes: int, take: Callable[[list[bytes], Reply], None],
         gone: Callable[[Reply], None], spawn: Callable[[Coroutine[None, None, None]], object], costs: Costs,
+        due_us: Callable[[], int],
     ) -> None:
+        self.due_us, self.sweep_us = due_us, NEVER  # when another's timer is due; when the own is
         self.costs, stages = costs, costs.stages
         self.connection = stages.kind(
             CLIENTS, ClientConnection, "connection_made", "buffer_updated", "process_more", "connection_lost"
@@ -522,8 +555,13 @@
         if self.draining:
             self.close_idle()
         self.bound_bytes()
+        self.sweep_us = now + round(SWEEP_S * 1e6)
         self.loop.call_later(SWEEP_S, self.sweep)
 
+    def late_us(self, now: int) -> int:
+        """By how much the loop was late at that time: a timer was due by then that had not rung."""
+        return max(0, now - min(self.sweep_us, self.due_us()))
+
     def waiting_bytes(self) -> int:
         return sum(connection.waiting_bytes() for connection in self.connections)
 
--- a/molereach/costs.py
+++ b/molereach/costs.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, ParamSpec, TypeVar
 
+from molereach.budget import Budget, Stage
+
 P, R, T = ParamSpec("P"), TypeVar("R"), TypeVar("T", bound=type)
 
 CLIENTS = "clients"  # reading and parsing what clients send
@@ -28,7 +30,7 @@
 
 
 COUNTERS = (
-    "accepted", "attempts", "datagrams_dropped", "datagrams_in", "datagrams_out", "failed", "gone",
+    "accepted", "attempts", "behind", "datagrams_dropped", "datagrams_in", "datagrams_out", "failed", "gone",
     "handshakes", "handshakes_failed", "list_lines", "pings", "refused", "requests", "reused", "served",
     "turned_away", "watches", "wrong_commands",
 )
@@ -37,20 +39,35 @@
 class Costs:
     """What happened since the start, counted where it happens, and where the time went if that is on."""
 
-    __slots__ = (*COUNTERS, "stages")
+    __slots__ = (*COUNTERS, "late", "late_us", "stages")
 
     def __init__(self, time_stages: bool = False) -> None:
         self.stages = Stages(time_stages)
+        # Of requests that failed or were answered past their aim: which stage took the most, how often; and
+        # what each stage took of all of them.
+        self.late, self.late_us = dict.fromkeys(Stage, 0), dict.fromkeys(Stage, 0)
         self.accepted = self.turned_away = 0  # connections of clients
         self.pings = self.wrong_commands = 0  # commands that are no request; a PING is a probe of this one
         # Each request taken is one of the four in the end; `gone`: its client left before the answer.
         self.requests = self.served = self.refused = self.failed = self.gone = 0
+        self.behind = 0  # answers that waited behind others on their connection
         self.attempts = 0  # handed to a pool, whether or not anything was written
         self.handshakes = self.handshakes_failed = 0  # connections to backends begun; those never up
         self.reused = 0  # attempts given to a connection that had carried one
         self.datagrams_in = self.datagrams_out = self.datagrams_dropped = 0  # the last were not read
         self.watches = self.list_lines = 0  # of discovery
 
+    def note_late(self, budget: Budget, now: int) -> None:
+        self.late[budget.slowest(now)] += 1
+        for stage, spent in zip(Stage, budget.spent_by(now), strict=True):
+            self.late_us[stage] += spent
+
+    def note_behind(self, end_us: int, budget: Callable[[], Budget], now: int) -> None:
+        """An answer has left that waited behind others; it is late if it did so past its client's time."""
+        self.behind += 1
+        if now >= end_us:
+            self.note_late(budget(), now)
+
     def counts(self) -> dict[str, int]:
         return {name: getattr(self, name) for name in COUNTERS}
 
@@ -123,7 +140,10 @@
 def report(costs: Costs, held_bytes: Mapping[str, int], descriptors: Mapping[str, int]) -> dict[str, Any]:
     """All figures by name. Descriptors that have no owner are the process's own: loop, signals, log."""
     found: dict[str, Any] = {
-        "processor_s": time.process_time_ns() / 1e9, **costs.counts(), "bytes": dict(held_bytes), **resident()
+        "processor_s": time.process_time_ns() / 1e9, **costs.counts(), "bytes": dict(held_bytes),
+        **resident(),
+        "late": {stage.name.lower(): count for stage, count in costs.late.items() if count},
+        "late_s": {stage.name.lower(): spent / 1e6 for stage, spent in costs.late_us.items() if spent},
     }
     if costs.stages.on:
         found["stages_s"] = costs.stages.report()
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -15,18 +15,20 @@
 from fennelwinch.rules import Gateway
 from molereach import costs
 from molereach.backends import Attempt, Backends, now_us
-from molereach.clients import FAILED, Clients, Command, CommandError, CommandParser, Reply
+from molereach.budget import Budget, Source, Stage
+from molereach.clients import FAILED, NEVER, Clients, Command, CommandError, CommandParser, Reply
 from molereach.config import Config
 from molereach.discovery import Catalog, Discovery, News
 from molereach.peers import Peers
 
 log = logging.getLogger(__name__)
 
-# Taken off the time that a client waits: for the way of its request here and of our answer back.
-ANSWER_MARGIN_US = 25_000
 BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
 FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
+# After SIGTERM an end by force comes no sooner than the longest deadline, 3 s at least, and 0.7 s more, of
+# which the last 0.2 s are for the answers' way and for our own end.
+LEAST_DRAIN_US, DRAIN_EXTRA_US = 3_000_000, 500_000
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
 LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
 SPARE_SOCKETS = 32  # for listening, discovery, peers, the loop and log
@@ -39,15 +41,28 @@
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "command", "end_us", "out", "reply", "timer")
+    __slots__ = ("attempts", "budget", "command", "course", "out", "reply", "timer")
 
-    def __init__(self, command: Command, reply: Reply, end_us: int) -> None:
-        self.command, self.reply, self.end_us = command, reply, end_us
+    def __init__(self, command: Command, reply: Reply, budget: Budget) -> None:
+        self.command, self.reply, self.budget = command, reply, budget
         self.attempts = 0
+        self.course: list[tuple[int, int, int]] = []  # of ended attempts: begun, written or 0, ended
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
 
 
+    def spent(self, now: int) -> Budget:
+        """Its budget with what each stage has taken by now."""
+        budget = self.budget
+        out = [(attempt.sent_us, attempt.written_us, now) for attempt in self.out.values()]
+        for begun, written, ended in (*self.course, *out):
+            budget = budget.enter(Stage.CONNECTING, begun)
+            if written:
+                budget = budget.enter(Stage.WAITING, written)
+            budget = budget.enter(Stage.HELD, ended)
+        return budget
+
+
 class FrontDoor:
     def __init__(self, config: Config) -> None:
         self.config, self.settings = config, config.settings
@@ -57,11 +72,13 @@
         self.gateway = Gateway(config.settings)
         self.gateway.handle = stages.call(costs.DECISIONS, self.gateway.handle)
         self.run_batch = stages.call(costs.ACTIONS, self.run_batch)
-        self.inbox: list[i.Event] = []
+        self.inbox: list[i.Event | Exchange] = []  # an exchange: its request, which is new
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
         self.timers: dict[int, asyncio.TimerHandle] = {}  # by token: the module has one of each at most
+        self.timer_us = NEVER  # when the one set last is due
+        self.last_us = NEVER  # until when a drain lets requests last
         self.address = config.listen
         memory = config.memory_mb << 20
         self.most_held = round(memory * HELD_SHARE)
@@ -74,7 +91,7 @@
         self.parser = CommandParser(config)
         self.clients = Clients(
             most_clients, round(memory * WAITING_SHARE), self.take, self.client_gone, self.backends.spawn,
-            self.costs,
+            self.costs, lambda: self.timer_us,
         )
         self.peers = Peers(config.peers, config.settings.me, self.post, self.costs)
         self.catalog = Catalog(config)
@@ -129,6 +146,12 @@
 
     async def drain(self) -> None:
         """Take and answer what still comes, then close what is idle, and answer all that is held."""
+        longest = max((rule.deadline_us for rule in self.settings.classes), default=0)
+        left = max(LEAST_DRAIN_US, longest) + DRAIN_EXTRA_US
+        self.last_us = now_us() + left
+        for exchange in list(self.open.values()):
+            self.limit(exchange)
+        self.post(i.Draining(left))
         await asyncio.sleep(SETTLE_S)
         self.clients.drain()
         while not await self.clients.left(LAST_WRITES_S):
@@ -155,7 +178,25 @@
 
     # --- events ---
 
-    def post(self, event: i.Event) -> None:
+    def limit(self, exchange: Exchange) -> None:
+        """Hold a request to what the drain leaves, with its attempts and its back-stop."""
+        budget = exchange.budget.until(self.last_us, Source.DRAIN)
+        if budget is exchange.budget:
+            return
+        exchange.budget = budget
+        self.back_stop(exchange, now_us())
+        for attempt in exchange.out.values():
+            if attempt.end_us > budget.end_us:
+                attempt.wait(budget.left_us(now_us()))
+
+    def back_stop(self, exchange: Exchange, now: int) -> None:
+        """The module owes an answer in time; this keeps the promise to the client should it fail to."""
+        if exchange.timer:
+            exchange.timer.cancel()
+        delay = (exchange.budget.left_us(now) + BACKSTOP_US) / 1e6
+        exchange.timer = self.loop.call_later(delay, self.overdue, exchange.command.id)
+
+    def post(self, event: i.Event | Exchange) -> None:
         if not self.inbox:
             self.loop.call_soon(self.run_batch)
         self.inbox.append(event)
@@ -163,6 +204,8 @@
     def run_batch(self) -> None:
         now, events, self.inbox = now_us(), self.inbox, []
         for event in events:
+            if type(event) is Exchange:  # what is left counts from the batch's time, as the module's does
+                event = event.command.request(left_us=event.budget.left_us(now))
             try:
                 actions = self.gateway.handle(now, event)
             except Exception:
@@ -195,23 +238,24 @@
 
     def take(self, words: list[bytes], reply: Reply) -> None:
         """A client's command; one that is wrong is a CommandError."""
-        command = self.parser.parse(words, ANSWER_MARGIN_US)
-        request = command.request
-        if request.id in self.open or request.id in self.ended:
+        command = self.parser.parse(words)
+        if command.id in self.open or command.id in self.ended:
             raise CommandError("this id is in use")
         if len(self.open) >= self.config.max_open or self.held_bytes > self.most_held:
             raise CommandError("too many requests are open")
-        exchange = Exchange(command, reply, now_us() + request.left_us)
-        delay = (request.left_us + BACKSTOP_US) / 1e6
-        exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
-        reply.id = request.id
-        self.open[request.id] = exchange
+        now = now_us()
+        budget = Budget.taken(command.wait_us, reply.connection.unread_us(now), now)
+        if self.last_us < budget.end_us:
+            budget = budget.until(self.last_us, Source.DRAIN)
+        exchange = Exchange(command, reply, budget)
+        self.back_stop(exchange, now)
+        reply.id = command.id
+        self.open[command.id] = exchange
         self.held_bytes += command.size + REQUEST_BYTES
         self.costs.requests += 1
-        self.post(request)
+        self.post(exchange)
 
     def overdue(self, request_id: str) -> None:
-        """The module owes an answer in time; this one keeps the promise to the client if it fails to."""
         if request_id in self.open:
             log.error("request %s was left without an answer", request_id)
             self.give_up(request_id)
@@ -232,12 +276,11 @@
                 ended.attempts += 1
             self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
             return
-        left = max(1, exchange.end_us - now_us())
+        left = exchange.budget.left_us(now_us())
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         number, exchange.attempts = exchange.attempts, exchange.attempts + 1
-        payload = exchange.command.payload(timeout)
         self.costs.attempts += 1
-        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done)
+        attempt = Attempt(action.id, number, action.server, exchange.command.payload, self.attempt_done)
         exchange.out[number] = attempt
         self.backends.send(attempt, timeout)
 
@@ -245,16 +288,18 @@
         self, attempt: Attempt, result: i.Result, value: bytes | None, report: i.LoadReport | None
     ) -> None:
         """An attempt's one outcome; the first value goes to the client at once and closes the request."""
-        name = attempt.request_id
+        name, now = attempt.request_id, now_us()
+        if name in self.open:
+            self.open[name].course.append((attempt.sent_us, attempt.written_us, now))
         if result is i.Result.OK and value is not None and name in self.open:
-            self.costs.served += self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value))
+            self.costs.served += self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), "was served")
         over = name not in self.open
         exchange = self.ended.get(name) if over else self.open[name]
         if exchange:
             exchange.out.pop(attempt.number, None)
             if over and not exchange.out:
                 del self.ended[name]
-        took = now_us() - attempt.sent_us
+        took = now - attempt.sent_us
         self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
 
     def cancel(self, action: i.Cancel) -> None:
@@ -266,17 +311,29 @@
     def refuse(self, action: i.Refuse) -> None:
         wait_ms = action.retry_after_us // 1000
         word = b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n"
-        self.costs.refused += self.answer(action.id, word)
+        self.costs.refused += self.answer(action.id, word, "was refused")
 
     def fail(self, action: i.Fail) -> None:
-        self.costs.failed += self.answer(action.id, FAILED)
+        self.costs.failed += self.answer(action.id, FAILED, "failed")
 
-    def answer(self, name: str, data: bytes) -> bool:
+    def answer(self, name: str, data: bytes, how: str) -> bool:
         """Whether it was still owed one."""
         exchange = self.settle(name)
-        if exchange:
-            exchange.reply.send(data)
-        return exchange is not None
+        if exchange is None:
+            return False
+        now, reply, budget = now_us(), exchange.reply, exchange.budget
+        took = budget.given_us - budget.left_us(now)
+        if data is FAILED or took > self.settings.classes[exchange.command.class_index].aim_us:
+            budget = exchange.spent(now)
+            self.costs.note_late(budget, now)
+            log.info("request %s %s after %d ms: %s", name, how, took // 1000, ", ".join(
+                f"{stage.name.lower()} {spent // 1000}"
+                for stage, spent in zip(Stage, budget.spent_by(now), strict=True) if spent))
+        elif reply.waits():
+            reply.end_us = budget.end_us
+            reply.budget = lambda: exchange.spent(now).enter(Stage.ANSWERING, now)
+        reply.send(data)
+        return True
 
     def settle(self, name: str) -> Exchange | None:
         """The request is owed nothing more; None if that is so already."""
@@ -295,7 +352,8 @@
         would wake it for nothing."""
         if older := self.timers.pop(action.token, None):
             older.cancel()
-        self.ring(now_us() + action.delay_us, action.token)
+        self.timer_us = now_us() + action.delay_us
+        self.ring(self.timer_us, action.token)
 
     def ring(self, due_us: int, token: int) -> None:
         """The loop's timers go by milliseconds and may be early; the module would pass over such a one
@@ -305,6 +363,7 @@
             self.timers[token] = self.loop.call_later(max(1000, left) / 1e6, self.ring, due_us, token)
         else:
             self.timers.pop(token, None)
+            self.timer_us = NEVER
             self.post(i.Timer(token))
 
     def log_line(self, action: i.Log) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -30,7 +30,7 @@
         self.ended: asyncio.Queue[tuple[i.Result, bytes | None, i.LoadReport | None]] = asyncio.Queue()
 
     def send(self, payload: bytes = resp("PING"), timeout_us: int = 5 * S) -> Attempt:
-        attempt = Attempt("a", 0, "s", payload, lambda _, *how: self.ended.put_nowait(how))
+        attempt = Attempt("a", 0, "s", lambda left: payload, lambda _, *how: self.ended.put_nowait(how))
         self.backends.send(attempt, timeout_us)
         return attempt
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -366,8 +366,8 @@
 
 def test_client_may_wait_for_a_little_longer_than_the_class() -> None:
     fields = b"c=read,t=team,d=6200"  # of 6 s
-    command = PARSER.parse([b"SVC.QUERY", CUSTOMER.encode(), b"a1", fields], 25_000)
-    assert command.request.left_us == 6_175_000
+    command = PARSER.parse([b"SVC.QUERY", CUSTOMER.encode(), b"a1", fields])
+    assert command.wait_us == 6_200_000 and command.request(left_us=7).left_us == 7
 
 
 TEXTS = ["read", "book", "team", "500", "", "=", "-1", "²"]
@@ -381,8 +381,8 @@
     text = ",".join(f"{key}={word}" for key, word in fields)
     words = [name, CUSTOMER.encode(), b"a1", text.encode(), *[b"B"] * body]
     try:
-        command = PARSER.parse(words, 0)
+        command = PARSER.parse(words)
     except CommandError:
         return
-    assert command.request.left_us == 500_000
+    assert command.wait_us == 500_000
     assert text.replace("d=500", "d=7") in command.payload(7_000).decode()
--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,238 @@
+"""A request's time on real sockets: what a backend is told, and what becomes of it when time is lost."""
+
+import asyncio
+import json
+import logging
+import socket
+import time
+
+import pytest
+
+from fennelwinch import interface as i
+from molereach import backends, frontdoor
+from molereach.backends import Attempt, Backends, now_us
+from molereach.budget import ANSWER_MARGIN_US
+from tests.helpers import MS, S, World, of, servers
+from tests.sockets import Backend, Client, front_door, query, run, submit, value
+
+MARGIN_MS = ANSWER_MARGIN_US // 1000
+
+
+def told_ms(words: list[bytes]) -> int:
+    """The `d` that a backend was told."""
+    return int(dict(part.split(b"=") for part in words[3].split(b","))[b"d"])
+
+
+class Recorder(Backend):
+    """Answers at once, and keeps what it was told and when."""
+
+    def __init__(self) -> None:
+        super().__init__(self.note)
+        self.told: list[tuple[int, float]] = []
+
+    def note(self, words: list[bytes]) -> bytes:
+        self.told.append((told_ms(words), time.monotonic()))
+        return value(b"ok")
+
+
+def test_backend_is_told_what_is_left_when_its_bytes_leave(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Not what was left when the attempt began: a handshake takes its time."""
+    connect = backends.Pool.connect
+
+    async def slow(pool: backends.Pool, connection: backends.Connection) -> None:
+        await asyncio.sleep(0.2)
+        await connect(pool, connection)
+
+    monkeypatch.setattr(backends.Pool, "connect", slow)
+
+    async def job() -> None:
+        backend = Recorder()
+        async with front_door(backend) as (_, address):
+            client = await Client.open(address)
+            sent = time.monotonic()
+            assert await client.ask(submit("a1", wait_ms=3000)) == b"ok"
+            told, at = backend.told[0]
+            assert told <= 3000 - MARGIN_MS - 200 and told <= 3000 - MARGIN_MS - (at - sent) * 1000 + 1
+
+    run(job())
+
+
+def test_attempt_with_nothing_left_is_not_written() -> None:
+    """Its connection came up too late for it; that says nothing of the backend, and the next one is sent."""
+
+    async def job() -> None:
+        backend, ended = Backend(), []
+        pool = Backends(30 * S, 200_000, 5)
+        pool.update({"s": i.ServerState.UP}, {"s": await backend.start()}, whole=True)
+
+        def attempt(name: str) -> Attempt:
+            payload = query(name)
+            return Attempt(name, 0, "s", lambda left: payload, lambda one, how, *_: ended.append((one, how)))
+
+        first = attempt("a1")
+        pool.send(first, 5 * S)
+        first.end_us = now_us() + 500  # under a millisecond: `d` could not tell of it
+        while not ended:
+            await asyncio.sleep(0.001)
+        assert ended == [(first, i.Result.MOOT)] and not first.written and not backend.commands
+        await asyncio.sleep(backends.REST_US / 1e6)
+        second = attempt("a2")
+        pool.send(second, 5 * S)
+        while len(ended) < 2:
+            await asyncio.sleep(0.001)
+        assert ended[1] == (second, i.Result.OK) and backend.opened == 1
+        assert [words[2] for words in backend.commands] == [b"a2"]
+        pool.close()
+
+    run(job())
+
+
+def test_command_that_lay_unread_is_charged() -> None:
+    """The loop stood still for 0.5 s while it came: at least its half is taken, as far as a timer tells."""
+
+    async def job() -> None:
+        backend = Recorder()
+        async with front_door(backend) as (_, address):
+            await (await Client.open(address)).ask(query("a0"))
+            with socket.create_connection(address) as client:
+                await asyncio.sleep(0.05)  # it is taken in
+                client.sendall(submit("a1", wait_ms=3000))
+                time.sleep(0.5)
+                while len(backend.told) < 2:
+                    await asyncio.sleep(0.001)
+            # The sweep is due every 0.2 s: 0.3 s of lateness are seen at least, and half of that is charged.
+            assert 3000 - MARGIN_MS - 500 <= backend.told[1][0] <= 3000 - MARGIN_MS - 150
+
+    run(job())
+
+
+def test_command_that_lay_for_longer_than_it_had_is_answered_at_once() -> None:
+    async def job() -> None:
+        backend = Recorder()
+        async with front_door(backend) as (_, address):
+            client = await Client.open(address)
+            assert await client.ask(query("a0")) == b"ok"
+            client.send(query("a1", wait_ms=60))
+            await asyncio.sleep(0)
+            time.sleep(0.6)
+            assert str(await client.answer()).startswith("-BUSY")
+            assert len(backend.told) == 1
+
+    run(job())
+
+
+def test_commands_behind_a_slow_one_are_charged_for_their_wait() -> None:
+    async def job() -> None:
+        first = asyncio.Event()
+
+        def answer(words: list[bytes]) -> bytes | None:
+            told[words[2]] = told_ms(words)
+            if words[2] == b"a0":
+                first.set()
+                return None
+            return value(words[2])
+
+        told: dict[bytes, int] = {}
+        fleet = [Backend(answer) for _ in range(8)]
+        async with front_door(*fleet) as (door, address):
+            client = await Client.open(address)
+            client.send(b"".join(submit(f"a{number}", wait_ms=4000) for number in range(50)))
+            await first.wait()
+            await asyncio.sleep(0.3)
+            commands = [(words[2], writer) for backend in fleet
+                        for words, writer in zip(backend.commands, backend.writers, strict=True)]
+            dict(commands)[b"a0"].write(value(b"a0"))
+            assert [await client.answer() for _ in range(50)] == [b"a%d" % number for number in range(50)]
+            assert all(told[b"a%d" % number] <= 4000 - MARGIN_MS for number in range(16))
+            assert all(told[b"a%d" % number] <= 4000 - MARGIN_MS - 290 for number in range(16, 50))
+            assert door.costs.behind >= 15
+
+    run(job())
+
+
+def test_idle_time_between_commands_is_charged_to_nobody() -> None:
+    """A connection that was not read for a while, as too much was open, and then rests."""
+
+    async def job() -> None:
+        backend = Recorder()
+        async with front_door(backend) as (_, address):
+            client = await Client.open(address)
+            client.send(b"".join(query(f"a{number}") for number in range(20)))
+            for _ in range(20):
+                assert await client.answer() == b"ok"
+            await asyncio.sleep(0.3)
+            assert await client.ask(submit("b1", wait_ms=3000)) == b"ok"
+            assert backend.told[-1][0] >= 3000 - MARGIN_MS - 100
+
+    run(job())
+
+
+def test_drain_leaves_each_request_the_lesser_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
+    monkeypatch.setattr(frontdoor, "DRAIN_EXTRA_US", -5_300_000)  # of 6 s, so that 0.7 s are left
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            short, long = await Client.open(address), await Client.open(address)
+            long.send(submit("a1", wait_ms=6000))
+            short.send(submit("a2", wait_ms=500))
+            while len(backend.commands) < 2:
+                backend.came.clear()
+                await backend.came.wait()
+            began = time.monotonic()
+            draining = asyncio.create_task(door.drain())
+            assert str(await short.answer()) == "-ERR failed"
+            assert time.monotonic() - began < 0.7
+            new = await Client.open(address)
+            new.send(query("a3", wait_ms=6000))
+            assert str(await long.answer()) == "-ERR failed"  # it may have run
+            assert 0.6 < time.monotonic() - began < 3
+            assert str(await new.answer()).startswith("-")
+            assert max(map(told_ms, backend.commands[2:]), default=0) <= 700
+            for client in (short, long, new):
+                client.writer.close()
+            await draining
+
+    run(job())
+
+
+def test_drain_refuses_at_once_what_is_held_and_cannot_be_answered() -> None:
+    world = World(fleet=servers(1, state=i.ServerState.DRAINING))
+    assert not of(i.Send, world.ask("r1"))
+    assert not of(i.Refuse, world.run(100 * MS))
+    actions = world.tell(i.Draining(300 * MS))
+    assert [action.id for action in of(i.Refuse, actions)] == ["r1"]
+    world.tell(i.ServerList(i.ListKind.CHANGES, 2, servers(1)))
+    sent = of(i.Send, world.ask("r2"))
+    assert sent and 0 < sent[0].timeout_us <= 300 * MS
+
+
+def test_log_and_cost_line_tell_which_stage_took_the_time(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            assert await client.ask(submit("a1", wait_ms=325)) == "-ERR failed"
+            found = json.loads(door.cost_line().partition(" ")[2])
+            assert found["late"] == {"waiting": 1} and 0.2 < found["late_s"]["waiting"] <= 0.3
+
+    run(job())
+    line = next(line for line in caplog.messages if line.startswith("request a1 failed after "))
+    assert "waiting " in line
+
+
+def test_step_of_the_wall_clock_changes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def job() -> None:
+        backend = Recorder()
+        async with front_door(backend) as (_, address):
+            client = await Client.open(address)
+            for number, step in enumerate((-10**9, 10**9)):
+                monkeypatch.setattr(time, "time", lambda step=step: 1e9 + step)
+                monkeypatch.setattr(time, "time_ns", lambda step=step: 10**18 + step * 10**9)
+                assert await client.ask(submit(f"a{number}", wait_ms=3000)) == b"ok"
+                assert 2500 < backend.told[-1][0] <= 3000 - MARGIN_MS
+
+    run(job())
