Tell in the log when further attempts are spent

Need: further attempts live on a share of first ones (RETRY_SHARE, RETRY_STORE); that the store was empty, and how many attempts were not begun for that, was seen nowhere.

Change: Gateway counts them and says so in one line a period.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -179,6 +179,7 @@
         self.second = round(S * min(1.0, sum(aims) / max(1, len(aims)) / USUAL_AIM_US))  # of this deployment
         self.patience_us = [0] * len(settings.classes)  # how long clients wait for their first tries
         self.retries, self.n_past = RETRY_STORE / 2, None  # no N: the cap is lifted
+        self.not_again = 0  # further attempts that were not begun in this period, as none was left
         self.n_exact, self.n_rest = 0.0, 0.0  # N before it is rounded down; what rounding has left over
         # Of the servers, in those that are warm and well: by now, and when N was last updated.
         self.capacity = self.counted = 0.0
@@ -283,6 +284,10 @@
         sent = max(self.accepted, self.wanted if self.n_past is None else min(self.wanted, self.n_past))
         self.rate += (RATE_SMOOTH if self.rate else 1) * (sent * S / self.cc_us - self.rate)
         self.wanted = 0
+        if self.not_again:
+            text = f"further attempts are spent: {self.not_again} not begun in a period"
+            self.actions.append(i.Log(text))
+            self.not_again = 0
         self.fleet.forget(self.now)
         self.forget_customers()
         self.update_cap(self.accepted)
@@ -629,7 +634,10 @@
         """Further attempts live on a small share of first ones, so that they cannot feed an overload."""
         costs = why is not i.Result.CONNECT_FAILED
         late = why is i.Result.MOOT or self.now + self.mean_us[job.req.class_index] / 2 >= job.end_us
-        if late or len(job.servers) >= self.set.max_attempts or (costs and self.retries < 1):
+        if late or len(job.servers) >= self.set.max_attempts:
+            return False
+        if costs and self.retries < 1:
+            self.not_again += 1
             return False
         if server := self.choose(job):
             self.retries -= costs
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -805,3 +805,22 @@
     asked.clear()
     assert of(i.Send, world.ask("r1"))
     assert asked in (["cold"], ["cold", "cold"])  # the second: its spacing, where it was chosen
+
+
+def failing(world: World, name: str) -> int:
+    """How many attempts a request gets whose attempts all fail."""
+    world.ask(name)
+    while world.out:
+        for key, attempt in list(world.out):
+            world.answer(key, i.Result.ERROR, attempt)
+    return world.tries.get(name, 0)
+
+
+def test_further_attempts_have_a_budget_that_is_told_of_when_it_is_spent() -> None:
+    """All requests draw on it, so that a failing back end does not see its load multiplied."""
+    world = World(fleet=servers(40))
+    tried = [failing(world, f"r{number}") for number in range(20)]
+    assert tried[0] == 3 and tried[-1] == 1
+    assert sum(tried) - 20 <= 4 + 0.1 * 20  # half a store, and the share of first attempts
+    told = [action.text for action in of(i.Log, world.run(3 * S))]
+    assert told and "not begun" in told[0]
