--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -5,6 +5,7 @@
 import logging
 import socket
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -12,7 +13,7 @@
 from molereach import backends, frontdoor
 from molereach.backends import Attempt, Backends, now_us
 from molereach.budget import ANSWER_MARGIN_US
-from tests.helpers import MS, S, World, of, servers
+from tests.helpers import MS, SETTINGS, S, World, of, servers
 from tests.sockets import Backend, Client, front_door, query, run, submit, value
 
 MARGIN_MS = ANSWER_MARGIN_US // 1000
@@ -35,8 +36,8 @@
         return value(b"ok")
 
 
-def test_backend_is_told_what_is_left_when_its_bytes_leave(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Not what was left when the attempt began: a handshake takes its time."""
+@pytest.fixture
+def slow_handshakes(monkeypatch: pytest.MonkeyPatch) -> None:
     connect = backends.Pool.connect
 
     async def slow(pool: backends.Pool, connection: backends.Connection) -> None:
@@ -45,6 +46,10 @@
 
     monkeypatch.setattr(backends.Pool, "connect", slow)
 
+
+def test_backend_is_told_what_is_left_when_its_bytes_leave(slow_handshakes: None) -> None:
+    """Not what was left when the attempt began: a handshake takes its time."""
+
     async def job() -> None:
         backend = Recorder()
         async with front_door(backend) as (_, address):
@@ -236,3 +241,109 @@
                 assert 2500 < backend.told[-1][0] <= 3000 - MARGIN_MS
 
     run(job())
+
+
+def test_client_that_leaves_during_the_handshake_has_nothing_sent_on(slow_handshakes: None) -> None:
+    async def job() -> None:
+        backend = Recorder()
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(submit("a1"))
+            while not door.costs.handshakes:
+                await asyncio.sleep(0.001)
+            client.writer.close()
+            while not door.costs.gone or door.ended or door.gateway.jobs:
+                await asyncio.sleep(0.001)
+            other = await Client.open(address)  # by then the first connection has come up
+            assert await other.ask(submit("b1")) == b"ok"
+            assert [words[2] for words in backend.commands] == [b"b1"]
+
+    run(job())
+
+
+def test_drain_begun_during_a_handshake_still_answers(
+    slow_handshakes: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
+    monkeypatch.setattr(frontdoor, "DRAIN_EXTRA_US", -4_000_000)  # of 6 s, so that 2 s are left
+
+    async def job() -> None:
+        backend = Recorder()
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(submit("a1", wait_ms=6000))
+            while not door.costs.handshakes:
+                await asyncio.sleep(0.001)
+            draining = asyncio.create_task(door.drain())
+            assert await client.answer() == b"ok"
+            assert backend.told[0][0] <= 2000 - 150  # the handshake had begun some time before the drain
+            assert await client.ended()
+            await draining
+
+    run(job())
+
+
+def test_value_that_begins_in_time_and_ends_late_has_failed() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: value(b"x" * 100)[:50])
+        async with front_door(backend) as (_, address):
+            client, began = await Client.open(address), time.monotonic()
+            client.send(submit("a1", wait_ms=400))
+            assert await client.answer() == "-ERR failed"
+            took = time.monotonic() - began
+            backend.writers[0].write(value(b"x" * 100)[50:])
+            assert took < 0.4  # before its client gives up
+            backend.answer = lambda words: value(words[2])
+            assert await client.ask(submit("a2")) == b"a2"  # what came late is nobody's answer
+            assert backend.opened == 2
+
+    run(job())
+
+
+def test_cancel_that_crosses_the_answer_ends_once() -> None:
+    async def job() -> None:
+        backend, ended = Backend(lambda words: None), []
+        pool = Backends(30 * S, 200_000, 5)
+        pool.update({"s": i.ServerState.UP}, {"s": await backend.start()}, whole=True)
+        first = Attempt("a1", 0, "s", lambda left: query("a1"), lambda one, how, *_: ended.append(how))
+        pool.send(first, 5 * S)
+        await backend.came.wait()
+        backend.writers[0].write(value(b"ok"))  # it is in the kernel by now
+        first.cancel()
+        await asyncio.sleep(0.01)
+        assert ended == [i.Result.CANCELLED] and not pool.pools["s"].idle and not pool.count()
+
+    run(job())
+
+
+@pytest.mark.parametrize("effect", list(i.Effect))
+def test_last_attempt_that_fails_with_little_left_is_answered_at_once(effect: i.Effect) -> None:
+    rule = i.RequestClass(2 * S, 6 * S, effect=effect, group=i.Group.ZONE, window_us=5 * S)
+    world = World(replace(SETTINGS, classes=(rule,)))
+    world.ask("r1", left_us=2 * S)
+    world.run(1970 * MS)
+    actions = world.answer("r1", i.Result.ERROR)
+    assert not of(i.Send, actions)
+    assert [action.id for action in (*of(i.Refuse, actions), *of(i.Fail, actions))] == ["r1"]
+
+
+def test_requests_that_are_over_after_a_pause_are_each_answered_once() -> None:
+    """Every timer is due at once; what had time left goes on."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(*[backend], sockets=256) as (door, address):
+            clients = [await Client.open(address) for _ in range(2)]
+            clients[0].send(submit("a0", wait_ms=700))
+            clients[1].send(submit("a1", wait_ms=6000))
+            while len(backend.commands) < 2:
+                backend.came.clear()
+                await backend.came.wait()
+            time.sleep(1.0)
+            assert await clients[0].answer() == "-ERR failed"
+            assert list(door.open) == ["a1"]
+            backend.writers[[words[2] for words in backend.commands].index(b"a1")].write(value(b"late"))
+            assert await clients[1].answer() == b"late"
+            assert door.costs.requests == door.costs.served + door.costs.failed == 2
+
+    run(job())
