Begin no attempt that nothing could be written for

Seen in review: FrontDoor.send hands a time of 0 to Backends.send where a budget is spent; the attempt would open a connection, or time out while connecting and be held against the scan server as a failed connect.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -402,6 +402,9 @@
         if pool is None:
             attempt.finish(i.Result.CONNECT_FAILED)
             return
+        if timeout_us < LEAST_LEFT_US:  # nothing could be written: not worth a handshake
+            attempt.finish(i.Result.MOOT)
+            return
         attempt.wait(timeout_us)
         pool.start(attempt)
 
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -14,7 +14,7 @@
 from molereach.backends import Attempt, Backends, now_us
 from molereach.budget import ANSWER_MARGIN_US
 from tests.helpers import MS, SETTINGS, S, World, of, servers
-from tests.sockets import Backend, Client, front_door, query, run, submit, value
+from tests.sockets import HOST, Backend, Client, front_door, query, run, submit, value
 
 MARGIN_MS = ANSWER_MARGIN_US // 1000
 
@@ -312,6 +312,18 @@
     run(job())
 
 
+def test_attempt_begun_with_nothing_left_opens_no_connection() -> None:
+    async def job() -> None:
+        ended = []
+        pool = Backends(30 * S, 200_000, 5)
+        pool.update({"s": i.ServerState.UP}, {"s": (HOST, 9)}, whole=True)
+        for left in (0, 999):
+            pool.send(Attempt("a1", 0, "s", lambda _: b"", lambda one, how, *_: ended.append(how)), left)
+        assert ended == [i.Result.MOOT] * 2 and not pool.count()
+
+    run(job())
+
+
 @pytest.mark.parametrize("effect", list(i.Effect))
 def test_last_attempt_that_fails_with_little_left_is_answered_at_once(effect: i.Effect) -> None:
     rule = i.RequestClass(2 * S, 6 * S, effect=effect, group=i.Group.ZONE, window_us=5 * S)
