Look a request up once when its attempt is done, and leave no cycle behind it

An answer that waits behind others holds what would tell its late end, and that holds the reply again, a cycle that only the collector ends.

Change: the cycle is cut when the answer leaves; attempt_done looks the request up once in place of four times.

--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -326,6 +326,7 @@
             ready.append(reply.data)
             if reply.end_us:
                 self.clients.costs.note_behind(reply.end_us, reply.budget, now_us())
+                reply.budget = None  # it holds the reply in turn
         if self.transport.is_closing():
             return
         if ready:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -289,12 +289,15 @@
     ) -> None:
         """An attempt's one outcome; the first value goes to the client at once and closes the request."""
         name, now = attempt.request_id, now_us()
-        if name in self.open:
-            self.open[name].course.append((attempt.sent_us, attempt.written_us, now))
-        if result is i.Result.OK and value is not None and name in self.open:
-            self.costs.served += self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), "was served")
-        over = name not in self.open
-        exchange = self.ended.get(name) if over else self.open[name]
+        exchange = self.open.get(name)
+        over = exchange is None
+        if over:
+            exchange = self.ended.get(name)
+        else:
+            exchange.course.append((attempt.sent_us, attempt.written_us, now))
+            if result is i.Result.OK and value is not None:
+                self.costs.served += self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), "was served")
+                over = True
         if exchange:
             exchange.out.pop(attempt.number, None)
             if over and not exchange.out:
@@ -322,7 +325,7 @@
         if exchange is None:
             return False
         now, reply, budget = now_us(), exchange.reply, exchange.budget
-        took = budget.given_us - budget.left_us(now)
+        took = now - budget.end_us + budget.given_us
         if data is FAILED or took > self.settings.classes[exchange.command.class_index].aim_us:
             budget = exchange.spent(now)
             self.costs.note_late(budget, now)
