--- a/molereach/budget.py
+++ b/molereach/budget.py
@@ -103,10 +103,10 @@
     return b"%d" % (max(0, left_us) // MS)
 
 
-def from_text(text: bytes, most_us: int) -> int | None:
+def from_text(text: str, most_us: int) -> int | None:
     """What is left by such a text, never more than was written; None where it is no such text or is more than
     anybody gives."""
-    if not text.isdigit() or len(text) > 12:  # of bytes: the digits of ASCII and no others
+    if len(text) > 12 or not (text.isascii() and text.isdigit()):
         return None
     left = int(text) * MS
     return left if left <= most_us else None
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -16,7 +16,7 @@
 
 from fennelwinch import interface as i
 from molereach.backends import now_us
-from molereach.budget import LATE_LEAST_US, Budget, to_text, unread_us
+from molereach.budget import LATE_LEAST_US, Budget, from_text, to_text, unread_us
 from molereach.config import Address, Config
 from molereach.costs import CLIENTS, Costs
 from molereach.resp import CommandReader, ProtocolError, encode, has_unread
@@ -103,7 +103,7 @@
         self.classes, self.plans, self.settings = config.class_numbers, config.plan_numbers, config.settings
         # Clients wait a little longer than the class's time, seen by up to a tenth; a day of waiting would
         # hold memory for a day.
-        self.most_ms = [MOST_WAITS * rule.deadline_us // 1000 for rule in self.settings.classes]
+        self.most_us = [MOST_WAITS * rule.deadline_us for rule in self.settings.classes]
         # More than a plan lets through at once would only drain what is its customer's.
         bursts = [(plan.burst, plan.ceiling_burst) for plan in self.settings.plans]
         self.most_units = [max(1.0, min((b for b in both if b > 0), default=MOST_UNITS)) for both in bursts]
@@ -120,7 +120,9 @@
         plan = self.plans.get(values.get("t", ""))
         if plan is None:
             raise CommandError("unknown plan")
-        wait_ms = whole(values.get("d", ""), "time", 0, self.most_ms[number])
+        wait_us = from_text(values.get("d", ""), self.most_us[number])
+        if wait_us is None:
+            raise CommandError("invalid time")
         size, first = self.customers_set(values)
         units = self.units(values, plan)
         request = partial(
@@ -129,7 +131,7 @@
         )
         at = words[3].find(b"d=") if words[3].startswith(b"d=") else words[3].find(b",d=") + 1
         head, tail = words[3][: at + 2], words[3][at + 2 + len(values["d"]) :]
-        return Command(request_id, number, request, wait_ms * 1000, words, head, tail, sum(map(len, words)))
+        return Command(request_id, number, request, wait_us, words, head, tail, sum(map(len, words)))
 
     def customer(self, word: bytes) -> str:
         if not HEX.fullmatch(word) or int(word, 16) >= CUSTOMERS:
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -62,15 +62,15 @@
 @settings(derandomize=True)
 @given(st.integers(-S, 20 * S), st.integers(0, 20 * S))
 def test_text_never_gives_more_than_was_written(left: int, most: int) -> None:
-    read = from_text(to_text(left), most)
+    read = from_text(to_text(left).decode(), most)
     if read is None:
         assert left > most
     else:
         assert 0 <= read <= max(0, left) and max(0, left) - read < 1000 and read <= most
 
 
-@pytest.mark.parametrize("text", [b"", b"-1", b"1.5", b" 1", b"1e3", "٣".encode(), b"9" * 13, b"0x1", b"1_0"])
-def test_text_that_is_no_budget(text: bytes) -> None:
+@pytest.mark.parametrize("text", ["", "-1", "1.5", " 1", "1e3", "٣", "9" * 13, "0x1", "1_0", "10001"])
+def test_text_that_is_no_budget(text: str) -> None:
     assert from_text(text, 10 * S) is None
 
 
