Say once what a program said last, what is kept, and how commands are waited for

Change: last_line, kept and Backend.received serve all of them. No assertion and no bound is another.

--- a/bench/process.py
+++ b/bench/process.py
@@ -38,10 +38,15 @@
     tells_costs: bool  # whether SIGUSR1 brings a line; else it would end the process
 
 
+def last_line(said: bytes) -> str:
+    """What a program said last, of all that it printed."""
+    return next(iter(reversed(said.decode(errors="replace").strip().splitlines())), "it said nothing")
+
+
 def git(*words: str) -> bytes:
     done = subprocess.run(["git", "-C", str(ROOT), *words], capture_output=True, check=False)
     if done.returncode:
-        raise BenchError(f"git {words[0]}: {done.stderr.decode().strip().splitlines()[-1]}")
+        raise BenchError(f"git {words[0]}: {last_line(done.stderr)}")
     return done.stdout
 
 
@@ -58,8 +63,7 @@
     except subprocess.TimeoutExpired:
         raise BenchError(f"the build took more than {BUILD_S:.0f} s") from None
     if done.returncode:
-        lines = (done.stderr or done.stdout).decode(errors="replace").strip().splitlines()
-        raise BenchError(f"the build failed: {lines[-1] if lines else 'it said nothing'}")
+        raise BenchError(f"the build failed: {last_line(done.stderr or done.stdout)}")
     return Tree(root, run, (root / "molereach" / "costs.py").exists())
 
 
@@ -70,7 +74,7 @@
         raise BenchError(f"'{name}' is no revision")
     try:
         commit = git("rev-parse", "--verify", "--quiet", f"{name}^{{commit}}").decode().strip()
-    except (BenchError, IndexError):
+    except BenchError:
         raise BenchError(f"there is no revision '{name}'") from None
     with TemporaryDirectory(prefix="bench-") as folder:
         root = Path(folder)
@@ -137,14 +141,12 @@
         except OSError:
             raise BenchError(f"the front door has ended: {self.last_line()}") from None
 
-    def lines(self) -> list[str]:
-        return self.log.read_text(errors="replace").splitlines()
-
     def last_line(self) -> str:
-        return next(iter(reversed(self.lines())), "it said nothing")
+        return last_line(self.log.read_bytes())
 
     def cost_lines(self) -> list[dict[str, Any]]:
-        return [json.loads(line.partition(" costs ")[2]) for line in self.lines() if " costs {" in line]
+        lines = self.log.read_text(errors="replace").splitlines()
+        return [json.loads(line.partition(" costs ")[2]) for line in lines if " costs {" in line]
 
     async def costs(self) -> dict[str, Any]:
         """What it says of its own costs by now."""
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -80,6 +80,12 @@
         self.server = await asyncio.start_server(self.serve, HOST, 0)
         return self.server.sockets[0].getsockname()
 
+    async def received(self, count: int = 1, name: bytes = b"") -> None:
+        """Wait until so many commands have come, of all requests or of the one of that id."""
+        while sum(not name or words[2] == name for words in self.commands) < count:
+            self.came.clear()
+            await self.came.wait()
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
         parser = hiredis.Reader()
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -55,9 +55,7 @@
         sender = Sender(await backend.start())
         sender.send()
         sender.send()
-        while len(backend.commands) < 2:
-            backend.came.clear()
-            await backend.came.wait()
+        await backend.received(2)
         assert backend.opened == 2
         for writer in backend.writers:
             writer.write(value(b"x"))
@@ -181,9 +179,7 @@
             sender = Sender(await backend.start())
             sender.send()
             sender.send()
-            while len(backend.commands) < 2:
-                backend.came.clear()
-                await backend.came.wait()
+            await backend.received(2)
             for writer in backend.writers:
                 writer.write(value(b"x"))
             assert [await sender.result(), await sender.result()] == [i.Result.OK] * 2
@@ -249,9 +245,7 @@
         sender = Sender(await backend.start())
         sender.send()
         sender.send()
-        while len(backend.commands) < 2:
-            backend.came.clear()
-            await backend.came.wait()
+        await backend.received(2)
         for writer in backend.writers:
             writer.write(value(b"x"))
         assert [await sender.result(), await sender.result()] == [i.Result.OK] * 2
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -28,15 +28,16 @@
 CUSTOMER = 1200
 
 
-def kept(action: Callable[[], None], package: str) -> int:
-    """Bytes that lines of the package allocated in an action and that are still there."""
-    gc.collect()
-    before = tracemalloc.take_snapshot()
-    action()
-    gc.collect()
-    only = [tracemalloc.Filter(True, str(ROOT / package / "*"))]
-    after = tracemalloc.take_snapshot().filter_traces(only)
-    return sum(found.size_diff for found in after.compare_to(before.filter_traces(only), "filename"))
+def kept(place: str) -> Callable[[], int]:
+    """Tells, when called, the bytes that lines there have allocated from now on and that are still there."""
+    only = [tracemalloc.Filter(True, str(ROOT / place))]
+
+    def taken() -> tracemalloc.Snapshot:
+        gc.collect()
+        return tracemalloc.take_snapshot().filter_traces(only)
+
+    before = taken()
+    return lambda: sum(found.size_diff for found in taken().compare_to(before, "filename"))
 
 
 @pytest.fixture
@@ -53,16 +54,11 @@
         async with front_door(Backend(), sockets=512) as (_, address):
             for number in range(20):  # what the first requests bring into being is nobody's
                 await (await Client.open(address)).ask(query(f"w{number}"))
-            gc.collect()
-            before = tracemalloc.take_snapshot()
+            found = kept("molereach/clients.py")
             clients = [await Client.open(address) for _ in range(count)]
             for number, client in enumerate(clients):
                 assert await client.ask(query(f"a{number}")) == b"ok"
-            gc.collect()
-            only = [tracemalloc.Filter(True, str(ROOT / "molereach" / "clients.py"))]
-            after = tracemalloc.take_snapshot().filter_traces(only).compare_to(
-                before.filter_traces(only), "filename")
-            assert 0 < sum(found.size_diff for found in after) / count < IDLE_CONNECTION
+            assert 0 < found() / count < IDLE_CONNECTION
 
     run(job())
 
@@ -81,7 +77,9 @@
     world = World()
     customers(world, 0, 100)
     count = 2000
-    assert 0 < kept(lambda: customers(world, 100, count), "fennelwinch") / count < CUSTOMER
+    found = kept("fennelwinch/*")
+    customers(world, 100, count)
+    assert 0 < found() / count < CUSTOMER
 
 
 def test_ten_thousand_customers_that_come_once_leave_nothing() -> None:
@@ -122,9 +120,7 @@
             assert str(await client.ask(query("c1"))).startswith("-")
             leaving = await Client.open(address)
             leaving.send(query("z1"))
-            while not [words for words in backend.commands if words[2] == b"z1"]:
-                backend.came.clear()
-                await backend.came.wait()
+            await backend.received(1, b"z1")
             leaving.writer.close()
             while door.open or door.ended or door.gateway.jobs:
                 await asyncio.sleep(0.001)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -23,9 +23,7 @@
         async with front_door(backend) as (_, address):
             client = await Client.open(address)
             client.send(query("a1") + resp("PING") + query("a2") + resp("WHAT"))
-            while len(backend.commands) < 2:
-                backend.came.clear()
-                await backend.came.wait()
+            await backend.received(2)
             slow = next(n for n, words in enumerate(backend.commands) if words[2] == b"a1")
             backend.writers[slow].write(value(b"a1"))
             answers = [await client.answer() for _ in range(4)]
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -43,9 +43,7 @@
             assert await client.ask(query("b1")) == "-BUSY 750"  # a safe class with no try left
             leaving = await Client.open(address)
             leaving.send(query("z1"))
-            while len([words for words in backend.commands if words[2] == b"z1"]) < 1:
-                backend.came.clear()
-                await backend.came.wait()
+            await backend.received(1, b"z1")
             leaving.writer.close()
             while not (found := figures(door))["gone"]:
                 await asyncio.sleep(0.001)
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -180,9 +180,7 @@
             short, long = await Client.open(address), await Client.open(address)
             long.send(submit("a1", wait_ms=6000))
             short.send(submit("a2", wait_ms=500))
-            while len(backend.commands) < 2:
-                backend.came.clear()
-                await backend.came.wait()
+            await backend.received(2)
             began = time.monotonic()
             draining = asyncio.create_task(door.drain())
             assert str(await short.answer()) == "-ERR failed"
@@ -344,9 +342,7 @@
             clients = [await Client.open(address) for _ in range(2)]
             clients[0].send(submit("a0", wait_ms=700))
             clients[1].send(submit("a1", wait_ms=6000))
-            while len(backend.commands) < 2:
-                backend.came.clear()
-                await backend.came.wait()
+            await backend.received(2)
             time.sleep(1.0)
             assert await clients[0].answer() == "-ERR failed"
             assert list(door.open) == ["a1"]
