Add the model: the fleet in simulated time, hosting the real decision module

Change: package `model/`. One event heap in microseconds; numpy's generators, a stream for each concern; scan servers (cores shared by virtual time, slots, waiting room, cold ramp, falling over, connection caps, drain), halls, delay, loss and cuts, late lists, datagrams under the intake bound, clients that give up and retry, customers by plan, quota and ceiling booked over the fleet. Each front door is an unchanged `Gateway`; messages go through the real codec. Scenarios are TOML, read by msgspec: an unknown key is one line and exit code 2.

--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet in simulated time: scenarios, runs, experiments and reports."""
--- /dev/null
+++ b/model/__main__.py
@@ -0,0 +1,210 @@
+"""The model's commands: run, compare, sweep, report and search."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import BinaryIO
+
+import click
+import msgspec
+
+from model import day as days
+from model.errors import ModelError
+from model.experiment import BROKEN, ROOT, Play, Runner, figures, revision, set_constant, table
+from model.scenario import known, load
+
+BAD_INPUT, STOPPED = 2, 130  # exit codes; 1 is a fault's
+
+
+class Group(click.Group):
+    """Bad input is one plain line and exit code 2; Ctrl-C says so and leaves no process."""
+
+    def main(self, *args: object, **kwargs: object) -> object:  # type: ignore[override]
+        try:
+            return super().main(*args, **{**kwargs, "standalone_mode": False})
+        except click.ClickException as error:
+            click.echo(f"model: {error.format_message()}", err=True)
+        except ModelError as error:
+            click.echo(f"model: {error}", err=True)
+        except (click.Abort, KeyboardInterrupt):
+            click.echo("model: stopped", err=True)
+            sys.exit(STOPPED)
+        except BrokenPipeError:
+            os.dup2(os.open(os.devnull, os.O_WRONLY), 1)  # its reader has gone: nothing is left to say
+            sys.exit(0)
+        sys.exit(BAD_INPUT)
+
+
+@click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
+def cli() -> None:
+    """The fleet in simulated time: one run, pairs against a revision, a constant at several values."""
+    signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(KeyboardInterrupt()))
+
+
+SEED = click.option("--seed", type=click.IntRange(0, 2**53), default=1, show_default=True,
+                    help="Of all random numbers.")
+JOBS = click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True,
+                    help="Processes at once.")
+SEEDS = click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True,
+                     help="Pairs: as many seeds, from --first on.")
+FIRST = click.option("--first", type=click.IntRange(0, 2**53), default=1, show_default=True)
+OUT = click.option("--out", type=click.Path(dir_okay=False, path_type=Path),
+                   help="Keep each run's total as it ends, a JSON line each; what is there already is kept.")
+
+
+@cli.command()
+@click.argument("scenario")
+@SEED
+@click.option("--total", is_flag=True, help="The last line alone.")
+@click.option("--set", "settings", multiple=True, metavar="NAME=NUMBER", help="A constant of the module.")
+@click.option("--out", type=click.File("wb"), default="-", help="Where the JSON lines go.")
+def run(scenario: str, seed: int, total: bool, settings: tuple[str, ...], out: BinaryIO) -> None:
+    """Play SCENARIO (a name or a .toml file) once; JSON lines. Exit code 3 where a rule was broken."""
+    found = load(scenario)
+    for setting in settings:
+        set_constant(setting)
+    started = time.process_time()
+    day = days.play(found, seed)
+    for line in [days.line(day.result())] if total else day.lines():
+        out.write(line)
+    out.flush()
+    if sys.stderr.isatty():
+        click.echo(f"{time.process_time() - started:.1f} s of processor time", err=True)
+    if day.books.breaks or day.books.check():
+        sys.exit(BROKEN)
+
+
+@cli.command("list")
+def list_() -> None:
+    """The scenarios that come with the model."""
+    for name in known():
+        found = load(name)
+        click.echo(f"{name:10} {found.doors} doors, {found.servers.count} servers, {found.length_s:g} s")
+
+
+def resolve(scenario: str) -> str:
+    """A scenario as a play in another folder names it; checked before any process is started."""
+    load(scenario)
+    return str(Path(scenario).resolve()) if scenario.endswith(".toml") else scenario
+
+
+def play_all(plays: list[Play], jobs: int, out: Path | None) -> list[dict[str, object]]:
+    """Make the plays, with progress on standard error and each total kept as it ends."""
+    runner, ended = Runner(jobs), 0
+    try:
+        kept = out.open("ab") if out else None
+    except OSError as error:
+        raise ModelError(f"{out}: {error.strerror}") from error
+
+    def done(total: dict[str, object]) -> None:
+        nonlocal ended
+        ended += 1
+        if kept:
+            kept.write(msgspec.json.encode(total) + b"\n")
+            kept.flush()
+        click.echo(f"{ended} of {len(plays)}: {total['side']}, {total['scenario']}, seed {total['seed']}: "
+                   f"G {total['g']:.4f}", err=True)
+
+    try:
+        return runner.play_all(plays, done)
+    finally:
+        runner.stop()
+        if kept:
+            kept.close()
+
+
+def show(results: list[dict[str, object]], old: str, new: str) -> None:
+    click.echo(f"{'figure':20} {old:>10.10} {new:>10.10}  median of the paired differences [95%]")
+    for name, before, after, interval in table(results, old, new):
+        click.echo(f"{name:20} {before:10.4f} {after:10.4f}  {interval}")
+
+
+@cli.command()
+@click.argument("rev")
+@click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
+@SEEDS
+@FIRST
+@JOBS
+@OUT
+def compare(
+    rev: str, scenarios: tuple[str, ...], seeds: int, first: int, jobs: int, out: Path | None
+) -> None:
+    """The decision module of REV against this tree's, on the same scenarios and seeds, in turns."""
+    names = [resolve(scenario) for scenario in scenarios]
+    with revision(rev) as folder:
+        plays = [Play(side, where, name, seed) for name in names for seed in range(first, first + seeds)
+                 for side, where in ((rev, folder), ("this tree", ROOT))]
+        results = play_all(plays, jobs, out)
+    for number, scenario in enumerate(scenarios):
+        click.echo(f"{scenario}: {rev} against this tree")
+        show(results[number * 2 * seeds : (number + 1) * 2 * seeds], rev, "this tree")
+
+
+@cli.command()
+@click.argument("constant")
+@click.argument("scenario")
+@click.option("--values", required=True, metavar="A,B,...", help="The others are held against the first.")
+@SEEDS
+@FIRST
+@JOBS
+@OUT
+def sweep(
+    constant: str, scenario: str, values: str, seeds: int, first: int, jobs: int, out: Path | None
+) -> None:
+    """CONSTANT of the decision module at several values, on the same seeds of SCENARIO."""
+    words = [word.strip() for word in values.split(",") if word.strip()]
+    if len(set(words)) < 2 or len(set(words)) < len(words):
+        raise ModelError("--values takes two or more different numbers")
+    import fennelwinch.rules  # noqa: F401 - its constants are what is checked here
+
+    for word in words:
+        set_constant(f"{constant}={word}")
+    name = resolve(scenario)
+    plays = [Play(word, ROOT, name, seed, (f"{constant}={word}",))
+             for seed in range(first, first + seeds) for word in words]
+    results = play_all(plays, jobs, out)
+    for word in words[1:]:
+        click.echo(f"{scenario}: {constant} = {words[0]} against {word}")
+        show([total for total in results if total["side"] in (words[0], word)], words[0], word)
+
+
+@cli.command()
+@click.argument("runs", type=click.Path(exists=True, dir_okay=False, path_type=Path), nargs=-1,
+                required=True)
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), default=Path("report.html"),
+              show_default=True)
+def report(runs: tuple[Path, ...], out: Path) -> None:
+    """One HTML file with plots of the JSON lines that `run` wrote, the first against the others."""
+    from model.report import read, write
+
+    write([read(path) for path in runs], out)
+    click.echo(f"{out} is written")
+
+
+@cli.command()
+@click.option("--seconds", type=click.FloatRange(0.1, 86_400), default=60.0, show_default=True,
+              help="For how long to look.")
+@click.option("--count", type=click.IntRange(1, 1_000_000), help="Look at so many scenarios instead.")
+@SEED
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("found"),
+              show_default=True, help="Where what breaks a rule is kept.")
+def search(seconds: float, count: int | None, seed: int, out: Path) -> None:
+    """Play random scenarios; one that breaks a rule is made small and kept as a .toml file."""
+    from model.search import look
+
+    found = look(seed, out, seconds, count, lambda text: click.echo(text, err=True))
+    click.echo(f"{found.played} scenarios played, {len(found.kept)} kept")
+    for path in found.kept:
+        click.echo(str(path))
+    if found.kept:
+        sys.exit(BROKEN)
+
+
+__all__ = ["cli", "figures"]
+
+if __name__ == "__main__":
+    cli()
--- /dev/null
+++ b/model/doors.py
@@ -0,0 +1,409 @@
+"""A front door in the model: the real decision module, its timers, and its connections to scan servers.
+
+It does what molereach does with the module's actions, as far as time and load go: one command at a time on
+a connection, an attempt's connection given up with it, the newest timer of a token only, one outcome for
+each attempt. Each action is held against the rules of the wire page before it is carried out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from fennelwinch import interface as i
+from fennelwinch.codec import pack_message, unpack_message
+from model.clock import MS, S
+from model.servers import ScanServer, Work
+from model.watched import Decided, Watched
+
+if TYPE_CHECKING:
+    from model.clients import Try
+    from model.day import Day
+
+IDLE_PART = 0.5  # of a server's idle time after which a door closes: as molereach does
+SWEEP_US = S  # how often idle connections are looked through
+LIST_AFTER_START_US = 20 * MS  # for the agent's first answer; the known list is there at once
+INTAKE_DEPTH = 0.5  # seconds of the intake that may come at once (ours: the pages say only how many a second)
+GRACE_US = 8 * MS  # after a try's time in which its final answer still counts: the site's settings
+RULE_SLACK_US = 50 * MS  # the protocol page's, on each time limit
+
+RESULTS = {"served": i.Result.OK, "error": i.Result.ERROR, "full": i.Result.FULL, "lost": i.Result.RESET}
+
+
+class Attempt:
+    """One attempt at a door: `over` once its outcome was told, `whole` once it came whole to the server."""
+
+    __slots__ = ("connected", "number", "over", "sent_us", "server", "target", "whole", "work")
+
+    def __init__(self, number: int, server: str, target: ScanServer | None, sent_us: int) -> None:
+        self.number, self.server, self.target, self.sent_us = number, server, target, sent_us
+        self.connected = self.over = self.whole = False
+        self.work: Work | None = None
+
+
+class Open:
+    """A request that the door has taken, until its answer, and until its last attempt has ended."""
+
+    __slots__ = ("answered", "attempts", "end_us", "grouped", "out", "proven", "since_us", "try_")
+
+    def __init__(self, try_: Try, end_us: int) -> None:
+        self.try_, self.end_us = try_, end_us
+        self.attempts = self.proven = 0  # attempts begun, and those proven never to have run
+        self.out: dict[int, Attempt] = {}
+        self.answered = False
+        self.grouped: ScanServer | None = None  # where it may first have run, since when
+        self.since_us = 0
+
+
+class Door:
+    """One front door, dead or alive; all its knowledge goes with its process."""
+
+    def __init__(self, day: Day, number: int, zone: int) -> None:
+        self.day, self.number, self.zone = day, number, zone
+        self.gateway: Watched | None = None
+        self.life = 0  # counts starts and ends: what was asked in an earlier life is void
+        self.draining = False
+        self.started_us = 0
+        self.intake, self.intake_at = 0.0, 0
+        self.list_lag_us = day.streams["lists"].span(day.scenario.net.list_spread_ms) * MS
+        self.reset()
+
+    def reset(self) -> None:
+        self.open: dict[str, Open] = {}
+        self.timers: dict[int, int] = {}  # by token: the serial number of the one set last
+        self.pools: dict[str, list[int]] = {}  # idle connections by server: since when each
+        self.told: dict[str, int] = {}  # servers that drain or have gone, and since when that is known here
+        self.named: set[str] = set()
+        self.told_start: dict[str, int] = {}
+
+    @property
+    def alive(self) -> bool:
+        return self.gateway is not None
+
+    # --- its life ---
+
+    def start(self) -> None:
+        """A fresh process with nothing but the last list of servers."""
+        day = self.day
+        self.life += 1
+        self.draining, self.started_us = False, day.clock.now
+        self.reset()
+        self.intake, self.intake_at = 0.0, day.clock.now
+        self.gateway = Watched(day.settings(self.number, self.zone))
+        self.hear(day.catalog.saved(self.life > 1))
+        day.clock.after(LIST_AFTER_START_US, self.first_list, self.life)
+        day.clock.after(SWEEP_US, self.sweep, self.life)
+
+    def first_list(self, life: int) -> None:
+        if life == self.life:
+            self.hear(self.day.catalog.whole())
+
+    def stop(self) -> None:
+        """The process is killed: its connections are reset, at servers and to clients."""
+        if self.gateway is None:
+            return
+        self.life += 1
+        self.gateway = None
+        for name, pool in self.pools.items():
+            if server := self.day.servers.get(name):
+                for _ in pool:
+                    server.disconnect()
+        opened, self.open = self.open, {}
+        for state in opened.values():
+            for attempt in state.out.values():
+                self.release(attempt, keep=False)
+            if not state.answered:
+                self.day.clients.door_died(state.try_)
+
+    def drain(self, left_us: int) -> None:
+        """SIGTERM: no request, open or new, lasts longer than `left_us`."""
+        if self.gateway is not None:
+            self.draining = True
+            if not hasattr(i, "Draining"):  # an older revision's module knows nothing of it
+                return
+            for state in self.open.values():
+                state.end_us = min(state.end_us, self.day.clock.now + left_us)
+            self.handle(i.Draining(left_us))
+
+    def sweep(self, life: int) -> None:
+        """Close what has stood idle, and forget the pools of servers that have gone."""
+        if life != self.life:
+            return
+        clock, servers = self.day.clock, self.day.servers
+        oldest = clock.now - self.day.traits.idle_us * IDLE_PART
+        for name in list(self.pools):
+            server = servers.get(name)
+            pool = self.pools[name]
+            kept = [since for since in pool if since > oldest] if server and server.alive else []
+            if server and server.alive:
+                for _ in range(len(pool) - len(kept)):
+                    server.disconnect()
+            if kept:
+                self.pools[name] = kept
+            else:
+                del self.pools[name]
+        clock.after(SWEEP_US, self.sweep, life)
+
+    # --- what comes in ---
+
+    def handle(self, event: i.Event) -> None:
+        gateway = self.gateway
+        if gateway is None:
+            return
+        for action in gateway.handle(self.day.clock.now, event):
+            ACTIONS[type(action)](self, action)
+
+    def hear(self, news: i.ServerList) -> None:
+        now = self.day.clock.now
+        whole = news.kind is not i.ListKind.CHANGES
+        listed = {entry.name for entry in news.servers}
+        for entry in news.servers:
+            self.named.add(entry.name)
+            if entry.state is i.ServerState.UP:
+                self.told.pop(entry.name, None)
+                self.told_start[entry.name] = now
+            else:
+                self.told.setdefault(entry.name, now)
+        if whole:
+            for name in self.named - listed:
+                self.told.setdefault(name, now)
+        self.handle(news)
+
+    def datagram(self, sender: int, data: bytes) -> None:
+        """A peer's message that has arrived; the intake drops what comes faster than it takes in."""
+        day, rate = self.day, self.day.scenario.net.peer_per_s
+        if self.gateway is None:
+            day.books.message("to a dead door")
+            return
+        now = day.clock.now
+        self.intake = max(0.0, self.intake - (now - self.intake_at) * rate / S)
+        self.intake_at = now
+        if self.intake + 1 > max(1.0, rate * INTAKE_DEPTH):
+            day.books.message("intake full")
+            return
+        self.intake += 1
+        day.books.message("arrived", len(data))
+        unpacked = unpack_message(data)
+        if unpacked is not None:
+            words, digest = unpacked
+            self.handle(i.PeerMessage(sender, words, digest))
+
+    def request(self, try_: Try) -> None:
+        """A client's try; a door that has died resets it."""
+        if self.gateway is None:
+            self.day.clients.unreached(try_)
+            return
+        now = self.day.clock.now
+        left = max(0, try_.end_us - now - int(self.day.scenario.net.way_ms * MS))
+        self.open[try_.id] = Open(try_, now + left)
+        try_.taken_us = now
+        ask = try_.ask
+        customer = ask.customer
+        self.handle(i.Request(
+            try_.id, ask.kind, customer.plan, customer.name, left, 1.0, customer.size, customer.first,
+            False, self.day.scenario.classes[ask.kind].keyed,
+        ))
+
+    def client_gone(self, try_: Try) -> bool:
+        """Its client gives up: whether an answer was still owed."""
+        state = self.open.get(try_.id)
+        if state is None or state.answered or self.gateway is None:
+            return False
+        if self.day.clock.now > state.end_us + GRACE_US:
+            self.day.books.broke("no answer in time", f"door {self.number}, request {try_.id}")
+        state.answered = True
+        if not state.out:
+            del self.open[try_.id]
+        self.handle(i.ClientGone(try_.id))
+        self.gateway.seen.pop(try_.id, None)
+        return True
+
+    # --- actions ---
+
+    def set_timer(self, action: i.SetTimer) -> None:
+        serial = self.timers[action.token] = self.timers.get(action.token, 0) + 1
+        self.day.clock.after(action.delay_us, self.ring, self.life, action.token, serial)
+
+    def ring(self, life: int, token: int, serial: int) -> None:
+        if life == self.life and self.timers.get(token) == serial:
+            self.handle(i.Timer(token))
+
+    def tell(self, action: i.Tell) -> None:
+        for data in pack_message(action.words, action.digest):
+            self.day.network.datagram(self.number, action.peer, data)
+
+    def note(self, try_id: str) -> Decided | None:
+        return self.gateway.seen.get(try_id) if self.gateway else None
+
+    def refuse(self, action: i.Refuse) -> None:
+        self.answer(action.id, "refused", action.retry_after_us)
+
+    def fail(self, action: i.Fail) -> None:
+        self.answer(action.id, "failed", 0)
+
+    def answer(self, name: str, how: str, retry_after_us: int) -> None:
+        state = self.open.get(name)
+        if state is None or state.answered:
+            self.day.books.broke("a second answer", f"door {self.number}, request {name}")
+            return
+        rule = self.day.scenario.classes[state.try_.ask.kind]
+        if how == "refused" and rule.keyed and state.attempts > state.proven:
+            self.day.books.broke("refused though it may have run", f"door {self.number}, request {name}")
+        state.answered = True
+        if not state.out:
+            del self.open[name]
+        note = self.gateway.seen.pop(name, None)
+        self.day.clients.answered(state.try_, how, retry_after_us, note, self)
+
+    def send(self, action: i.Send) -> None:
+        state, day = self.open.get(action.id), self.day
+        now = day.clock.now
+        if state is None or state.answered:
+            day.books.broke("an attempt for a request that is over", f"door {self.number}, {action.id}")
+            return
+        number, state.attempts = state.attempts, state.attempts + 1
+        server = day.servers.get(action.server)
+        self.check_send(action, state, number, server)
+        if number >= day.scenario.max_attempts or state.end_us <= now:
+            state.proven += 1
+            attempt = Attempt(number, action.server, server, now)
+            state.out[number] = attempt
+            day.clock.after(0, self.outcome, self.life, state, attempt, i.Result.MOOT)
+            return
+        left = state.end_us - now
+        timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
+        attempt = state.out[number] = Attempt(number, action.server, server, now)
+        if state.grouped is None or state.attempts - 1 == state.proven:
+            state.grouped, state.since_us = server, now
+        day.books.attempts += 1
+        day.books.crossed += bool(server) and server.zone != self.zone
+        day.clock.after(timeout, self.time_out, self.life, state, attempt)
+        pool = self.pools.get(action.server)
+        if pool and server is not None and server.alive:
+            pool.pop()
+            attempt.connected = True
+            day.network.to_server(self, server, self.arrive, self.life, state, attempt, 0.0)
+            return
+        day.network.handshake(self, server, self.connected, self.life, state, attempt)
+
+    def check_send(self, action: i.Send, state: Open, number: int, server: ScanServer | None) -> None:
+        """The rules of the wire page that an attempt can break."""
+        day, now = self.day, self.day.clock.now
+        where = f"door {self.number}, {action.id} to {action.server}"
+        if action.server not in self.named:
+            day.books.broke("a server that no list named", where)
+        told = self.told.get(action.server)
+        if told is not None and now - told > day.scenario.drain_grace_ms * MS + RULE_SLACK_US:
+            day.books.broke("sent to a server that drains or is gone", where)
+        if len(state.out) > 0:
+            day.books.broke("two attempts out at once", where)
+        rule = day.scenario.classes[state.try_.ask.kind]
+        if rule.keyed and number > state.proven and server is not None and state.grouped is not None:
+            if server.zone != state.grouped.zone:
+                day.books.broke("a keyed request sent on to another hall", where)
+            elif now - state.since_us > rule.window_ms * day.scenario.stretch * MS + RULE_SLACK_US:
+                day.books.broke("a keyed request sent after its window", where)
+
+    def connected(self, life: int, state: Open, attempt: Attempt, up: bool) -> None:
+        """A handshake has ended."""
+        server = attempt.target
+        if attempt.over or life != self.life:
+            if up and server is not None:
+                server.disconnect()  # nobody waits for it any more
+            return
+        self.day.books.handshakes += 1
+        if not up or server is None:
+            self.outcome(life, state, attempt, i.Result.CONNECT_FAILED)
+            return
+        attempt.connected = True
+        self.day.network.to_server(
+            self, server, self.arrive, life, state, attempt, self.day.traits.handshake_us)
+
+    def arrive(self, life: int, state: Open, attempt: Attempt, extra_us: float) -> None:
+        """Its last byte has come to the server."""
+        if attempt.over or life != self.life or attempt.target is None:
+            return
+        first = not attempt.whole and not state.try_.booked
+        attempt.whole = True
+        if first:
+            state.try_.booked = True
+            self.day.clients.sent_on(state.try_, self)
+        day, server = self.day, attempt.target
+        work = Work(state.try_.ask.work_us * max(0.2, day.streams["work"].lognormal(1.0, day.attempt_noise)),
+                    state.end_us, lambda work, how: day.network.from_server(
+                        self, server, how, self.answered_by, life, state, attempt, work, how))
+        attempt.work = work
+        server.accept(work, self.number, extra_us)
+
+    def answered_by(self, life: int, state: Open, attempt: Attempt, work: Work, how: str) -> None:
+        """A server's answer, or word that its connection broke, has come back."""
+        if how == "silent" or attempt.over or life != self.life:
+            return
+        if how == "served":
+            attempt.target.useful_us += 0.0 if state.answered else work.work_us
+        self.outcome(life, state, attempt, RESULTS[how])
+
+    def time_out(self, life: int, state: Open, attempt: Attempt) -> None:
+        if attempt.over or life != self.life:
+            return
+        self.outcome(life, state, attempt,
+                     i.Result.TIMEOUT if attempt.whole else i.Result.CONNECT_FAILED)
+
+    def cancel(self, action: i.Cancel) -> None:
+        state = self.open.get(action.id)
+        attempt = state.out.get(action.attempt) if state else None
+        if attempt and not attempt.over:
+            self.day.clock.after(0, self.outcome, self.life, state, attempt, i.Result.CANCELLED)
+
+    def release(self, attempt: Attempt, keep: bool) -> None:
+        """Its connection goes back to the pool, or is closed."""
+        server = attempt.target
+        if attempt.connected and server is not None and server.alive:
+            if keep:
+                self.pools.setdefault(attempt.server, []).append(self.day.clock.now)
+            else:
+                server.disconnect()
+                if attempt.work and attempt.work.state != "over":
+                    server.leave(attempt.work)
+        attempt.connected = False
+
+    def outcome(self, life: int, state: Open, attempt: Attempt, result: i.Result) -> None:
+        """An attempt's one end; the first value goes to the client at once."""
+        if attempt.over or life != self.life or self.gateway is None:
+            return
+        attempt.over = True
+        day, try_ = self.day, state.try_
+        self.release(attempt, keep=result in (i.Result.OK, i.Result.ERROR, i.Result.FULL))
+        state.out.pop(attempt.number, None)
+        state.proven += result in (i.Result.FULL, i.Result.CONNECT_FAILED)
+        if state.attempts == state.proven:
+            state.grouped = None
+        day.books.outcomes[result.value] = day.books.outcomes.get(result.value, 0) + 1
+        served = result is i.Result.OK and not state.answered
+        over = served or state.answered
+        if served:
+            state.answered = True
+            day.clients.answered(try_, "served", 0, self.gateway.seen.pop(try_.id, None), self)
+        if state.answered and not state.out:
+            self.open.pop(try_.id, None)
+        self.handle(i.Outcome(
+            try_.id, over, attempt.number, attempt.server, result, day.clock.now - attempt.sent_us))
+
+    def ignore(self, action: i.Action) -> None:
+        """What the list's watch does in any case, or nobody has use for here."""
+
+    def log(self, action: i.Log) -> None:
+        self.day.books.log(self.number, action.text)
+
+    def close_idle(self, action: i.CloseIdle) -> None:
+        server = self.day.servers.get(action.server)
+        for _ in self.pools.pop(action.server, ()):
+            if server:
+                server.disconnect()
+
+
+ACTIONS: dict[type, Callable[..., None]] = {
+    i.Send: Door.send, i.Cancel: Door.cancel, i.Refuse: Door.refuse, i.Fail: Door.fail,
+    i.SetTimer: Door.set_timer, i.Tell: Door.tell, i.Log: Door.log, i.CloseIdle: Door.close_idle,
+    i.Subscribe: Door.ignore, i.FetchList: Door.ignore, i.Probe: Door.ignore, i.Count: Door.ignore,
+}
--- /dev/null
+++ b/model/experiment.py
@@ -0,0 +1,201 @@
+"""Runs in processes of their own: a revision against this tree, or a constant at several values.
+
+Each play is one process that runs `python -m model run`; the module it hosts is this tree's, or that of a
+revision, of which `fennelwinch/` alone is taken out of git. Pairs have the same scenario and seed.
+"""
+
+from __future__ import annotations
+
+import io
+import os
+import subprocess
+import sys
+import tarfile
+import tempfile
+from collections.abc import Callable, Iterator
+from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor, wait
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from threading import Event, Lock
+
+import msgspec
+import numpy as np
+
+from model.errors import ModelError
+
+ROOT = Path(__file__).resolve().parent.parent
+RESAMPLES, CONFIDENCE = 2000, 0.95  # of the bootstrap: its interval's ends move by under 0.002 with more
+BROKEN = 3  # the exit code of a run in which a rule was broken
+END_S = 5.0  # for a play to end after SIGTERM
+
+
+@contextmanager
+def revision(name: str) -> Iterator[Path]:
+    """A folder with the decision module of a revision; one that git does not know is a ModelError."""
+    found = subprocess.run(["git", "archive", "--format=tar", name, "fennelwinch"], cwd=ROOT,
+                           capture_output=True, check=False)
+    if found.returncode:
+        raise ModelError(f"there is no revision '{name}' with a decision module")
+    with tempfile.TemporaryDirectory(prefix="model-") as folder:
+        with tarfile.open(fileobj=io.BytesIO(found.stdout)) as archive:
+            archive.extractall(folder, filter="data")
+        yield Path(folder)
+
+
+@dataclass(frozen=True)
+class Play:
+    """One run to be made: whose module (a folder), which scenario and seed, which constants."""
+
+    side: str
+    folder: Path
+    scenario: str
+    seed: int
+    settings: tuple[str, ...] = ()
+
+
+@dataclass
+class Runner:
+    """Makes plays side by side; `stop` ends those that run, and leaves no process."""
+
+    jobs: int
+    running: set[subprocess.Popen[bytes]] = field(default_factory=set)
+    lock: Lock = field(default_factory=Lock)
+    stopped: Event = field(default_factory=Event)
+
+    def play(self, play: Play) -> dict[str, object]:
+        """The total of one run; a play that fails is a ModelError with its last line."""
+        words = [sys.executable, "-m", "model", "run", play.scenario, "--seed", str(play.seed), "--total"]
+        words += [word for setting in play.settings for word in ("--set", setting)]
+        environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1"}
+        with self.lock:
+            if self.stopped.is_set():
+                raise ModelError("stopped")
+            # A group of its own: Ctrl-C is for the parent alone, which then ends its plays in order.
+            process = subprocess.Popen(words, cwd=play.folder, env=environment, stdout=subprocess.PIPE,
+                                       stderr=subprocess.PIPE, start_new_session=True)
+            self.running.add(process)
+        try:
+            out, errors = process.communicate()
+        finally:
+            with self.lock:
+                self.running.discard(process)
+        if self.stopped.is_set():
+            raise ModelError("stopped")
+        if process.returncode not in (0, BROKEN):
+            last = errors.decode(errors="replace").strip().splitlines() or ["it said nothing"]
+            raise ModelError(f"{play.side}, seed {play.seed}: {last[-1]}")
+        return {**msgspec.json.decode(out), "side": play.side}
+
+    def stop(self) -> None:
+        self.stopped.set()
+        with self.lock:
+            running = list(self.running)
+        for process in running:
+            process.terminate()
+        for process in running:
+            try:
+                process.wait(END_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def play_all(
+        self, plays: list[Play], done: Callable[[dict[str, object]], None]
+    ) -> list[dict[str, object]]:
+        """All of them, in the order given; `done` is called as each ends, whatever its place.
+
+        A play that fails ends all others. Ctrl-C does too, and what has ended by then has been told.
+        """
+        results: dict[int, dict[str, object]] = {}
+        pool = ThreadPoolExecutor(self.jobs)
+        futures: dict[Future[dict[str, object]], int] = {
+            pool.submit(self.play, play): number for number, play in enumerate(plays)}
+        pending = set(futures)
+        try:
+            while pending:
+                ended, pending = wait(pending, timeout=0.2, return_when=FIRST_COMPLETED)
+                for future in ended:
+                    results[futures[future]] = future.result()
+                    done(results[futures[future]])
+        finally:
+            for future in pending:
+                future.cancel()
+            self.stop()
+            pool.shutdown()
+        return [results[number] for number in range(len(plays))]
+
+
+@dataclass(frozen=True)
+class Interval:
+    """The median of paired differences, and where it lies in resamples of them."""
+
+    median: float
+    low: float
+    high: float
+    pairs: int
+
+    def __str__(self) -> str:
+        return f"{self.median:+.4f} [{self.low:+.4f}, {self.high:+.4f}] in {self.pairs} pairs"
+
+
+def bootstrap(differences: list[float], seed: int = 1) -> Interval:
+    """The percentile interval of the median, by resampling the pairs."""
+    values = np.asarray(differences, dtype=float)
+    if not len(values):
+        raise ModelError("there are no pairs")
+    generator = np.random.Generator(np.random.PCG64(seed))
+    medians = np.median(values[generator.integers(0, len(values), (RESAMPLES, len(values)))], axis=1)
+    tail = (1 - CONFIDENCE) / 2
+    low, high = np.quantile(medians, [tail, 1 - tail])
+    return Interval(float(np.median(values)), float(low), float(high), len(values))
+
+
+def figures(total: dict[str, object]) -> dict[str, float]:
+    """The figures of a run that are compared."""
+    asks = max(1, total["asks"])
+    messages = total["messages"]
+    sent = sum(messages.values())
+    return {
+        "g": total["g"], "whole": total["whole"], "worst_10s": total["worst_10s"],
+        "over_quota": total["prices"]["over_quota"],
+        "tries an ask": total["tries"] / asks, "attempts an ask": total["attempts"] / asks,
+        "handshakes an ask": total["handshakes"] / asks,
+        "messages an ask": sent / asks,
+        "messages lost": 1 - messages.get("arrived", 0) / sent if sent else 0.0,
+        "broken rules": float(sum(total["broken"].values())),
+    }
+
+
+def table(results: list[dict[str, object]], old: str, new: str) -> list[tuple[str, float, float, Interval]]:
+    """By figure: the mean of either side, and the paired differences, new less old."""
+    sides: dict[str, dict[int, dict[str, float]]] = {old: {}, new: {}}
+    for total in results:
+        sides[total["side"]][total["seed"]] = figures(total)
+    seeds = sorted(set(sides[old]) & set(sides[new]))
+    rows = []
+    for name in figures(results[0]) if seeds else ():
+        before = [sides[old][seed][name] for seed in seeds]
+        after = [sides[new][seed][name] for seed in seeds]
+        gaps = [b - a for a, b in zip(before, after, strict=True)]
+        rows.append((name, sum(before) / len(seeds), sum(after) / len(seeds), bootstrap(gaps)))
+    return rows
+
+
+def set_constant(text: str) -> None:
+    """Give a constant of the decision module another value: NAME=NUMBER, wherever it has been imported."""
+    name, sign, value = text.partition("=")
+    try:
+        number = float(value)
+    except ValueError:
+        sign = ""
+    if not sign:
+        raise ModelError(f"'{text}' is not NAME=NUMBER")
+    found = False
+    for module in [module for key, module in sorted(sys.modules.items()) if key.startswith("fennelwinch.")]:
+        if name.isupper() and isinstance(getattr(module, name, None), int | float):
+            kind = type(getattr(module, name))
+            setattr(module, name, kind(number) if number == kind(number) else number)
+            found = True
+    if not found:
+        raise ModelError(f"the decision module has no constant '{name}' that is a number")
--- /dev/null
+++ b/model/report.py
@@ -0,0 +1,145 @@
+"""One self-contained HTML file about one run or several: what was served, refused, sent beyond, and where."""
+
+from __future__ import annotations
+
+import base64
+import html
+import io
+from collections import defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from model.errors import ModelError
+
+MOST_CAUSES = 8  # in one plot; the rest are drawn together
+MOST_LINES = 1_000_000  # of one run's file: a run of the longest scenario writes some thousand
+
+
+@dataclass
+class Run:
+    """What one file of JSON lines says."""
+
+    name: str
+    total: dict[str, object]
+    seconds: list[dict[str, object]] = field(default_factory=list)
+    servers: list[dict[str, object]] = field(default_factory=list)
+
+
+def read(path: Path) -> Run:
+    """A run's file; one that is none is a ModelError that names file and line."""
+    run = Run(path.stem, {})
+    try:
+        with path.open("rb") as file:
+            for number, line in enumerate(file, 1):
+                if number > MOST_LINES:
+                    raise ModelError(f"{path}: more than {MOST_LINES} lines")
+                try:
+                    value = msgspec.json.decode(line, type=dict[str, object])
+                except msgspec.DecodeError as error:
+                    raise ModelError(f"{path}, line {number}: {error}") from error
+                kind = value.get("kind")
+                if kind == "second":
+                    run.seconds.append(value)
+                elif kind == "server":
+                    run.servers.append(value)
+                elif kind == "total":
+                    run.total = value
+    except OSError as error:
+        raise ModelError(f"{path}: {error.strerror}") from error
+    if not run.total or not run.seconds:
+        raise ModelError(f"{path}: these are not the lines of a whole run (was it made with --total?)")
+    return run
+
+
+def stacked(run: Run, key: str) -> dict[str, list[float]]:
+    """By cause, its count in each second; the smaller causes together."""
+    sums: dict[str, float] = defaultdict(float)
+    for second in run.seconds:
+        for cause, count in second[key].items():
+            sums[cause] += count
+    largest = sorted(sums, key=lambda cause: (-sums[cause], cause))
+    shown, rest = largest[:MOST_CAUSES], largest[MOST_CAUSES:]
+    rows = {cause: [second[key].get(cause, 0) for second in run.seconds] for cause in shown}
+    if rest:
+        rows["others"] = [sum(second[key].get(cause, 0) for cause in rest) for second in run.seconds]
+    return rows
+
+
+def plots(run: Run) -> str:
+    """The run's plots as one picture, in text that HTML can hold."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(5, 1, figsize=(10, 17), layout="constrained")
+    at = [second["at"] for second in run.seconds]
+    for name in run.total["classes"]:
+        shares = [earned / offered if offered else None
+                  for second in run.seconds for offered, earned in [second["classes"][name]]]
+        axes[0].plot(at, shares, marker=".", label=name)
+    axes[0].set(title="served, as a share of the worth offered", ylim=(0, 1.15), xlabel="second")
+    for axis, key, title, unit in (
+        (axes[1], "refused", "refusals by cause", "tries a second"),
+        (axes[2], "over", "units beyond quota by cause", "units a second"),
+        (axes[3], "messages", "messages between doors by fate", "messages a second"),
+    ):
+        if rows := stacked(run, key):
+            axis.stackplot(at, list(rows.values()), labels=list(rows))
+        axis.set(title=title, ylabel=unit, xlabel="second")
+    zones = sorted({server["zone"] for server in run.servers})
+    ordered = sorted(run.servers, key=lambda server: (server["zone"], -server["served"]))
+    for zone in zones:
+        found = [(n, server["served"]) for n, server in enumerate(ordered) if server["zone"] == zone]
+        axes[4].bar([n for n, _ in found], [served for _, served in found], width=1.0, label=f"hall {zone}")
+    axes[4].set(title="load by server, the most loaded of each hall first", ylabel="requests served",
+                xlabel="server")
+    for axis in axes:
+        if axis.get_legend_handles_labels()[0]:
+            axis.legend(fontsize="small", loc="upper right")
+        axis.grid(alpha=0.3)
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png", dpi=80, metadata={"Software": None})
+    pyplot.close(figure)
+    return base64.b64encode(buffer.getvalue()).decode()
+
+
+def rows_of(values: dict[str, object], total: float) -> str:
+    return "".join(
+        f"<tr><td>{html.escape(str(cause))}</td><td>{count:.4g}</td>"
+        f"<td>{count / total if total else 0:.1%}</td></tr>"
+        for cause, count in sorted(values.items(), key=lambda item: -item[1]))
+
+
+def section(run: Run) -> str:
+    total = run.total
+    plain = {"G": total["g"], "whole run": total["whole"], "worst 10 s": total["worst_10s"],
+             **{f"plan {name}": share for name, share in total["plans"].items()},
+             **{f"class {name}": share for name, share in total["classes"].items()},
+             **{f"price: {name}": price for name, price in total["prices"].items()}}
+    parts = [f"<h2>{html.escape(run.name)}: {html.escape(str(total['scenario']))}, seed {total['seed']}</h2>",
+             "<table>", *(f"<tr><td>{html.escape(name)}</td><td>{value:.4f}</td></tr>"
+                          for name, value in plain.items()), "</table>"]
+    broken = total["broken"]
+    parts.append(f"<p>{'Rules kept.' if not broken else 'Broken: ' + html.escape(str(broken))}</p>")
+    for title, key, of in (("Losses of worth by cause, net", "lost", total["offered"]),
+                           ("Refusals by cause", "refused", total["ends"].get("refused", 0)),
+                           ("Units beyond quota by cause", "over", total["units_beyond"])):
+        parts.append(f"<h3>{title}</h3><table>{rows_of(total[key], of)}</table>")
+    parts.append(f'<img alt="plots of {html.escape(run.name)}" src="data:image/png;base64,{plots(run)}">')
+    return "\n".join(parts)
+
+
+def write(runs: list[Run], out: Path) -> None:
+    """The report of these runs, in the order given, as one file that needs no other."""
+    style = ("body{font-family:sans-serif;max-width:60em;margin:2em auto;padding:0 1em}"
+             "table{border-collapse:collapse}td{border:1px solid #ccc;padding:.2em .6em}img{max-width:100%}")
+    text = "\n".join(["<!doctype html>", '<html lang="en"><meta charset="utf-8">',
+                      f"<title>Runs of the fleet's model</title><style>{style}</style>",
+                      "<h1>Runs of the fleet's model</h1>", *map(section, runs), "</html>\n"])
+    try:
+        out.write_text(text)
+    except OSError as error:
+        raise ModelError(f"{out}: {error.strerror}") from error
--- /dev/null
+++ b/model/watched.py
@@ -0,0 +1,104 @@
+"""The project's own decision module, unchanged, with what it does made known to the books.
+
+`Watched` calls the module's methods and adds nothing to what they do: it notes on what basis a request's
+quota was decided and why one was refused. What another revision's module lacks is left out.
+"""
+
+from __future__ import annotations  # older revisions lack some of the events named here
+
+from fennelwinch import interface as i
+from fennelwinch import rules
+
+# On what basis a quota was decided.
+PART, HOME, LAST_WORD, SILENT = "own part", "home", "last word", "silent home"
+WORD, NO_WORD = "word", "no word"
+
+
+class Decided:
+    """What the module made of one request: whether it counted it as inside the quota, and on what basis."""
+
+    __slots__ = ("basis", "chance", "home", "inside", "why")
+
+    def __init__(self) -> None:
+        self.basis, self.chance, self.inside, self.why, self.home = "", 1.0, False, "", -1
+
+
+class Watched(rules.Gateway):
+    """One front door's decisions; `seen` holds a note for each request that is open."""
+
+    def __init__(self, settings: i.Settings) -> None:
+        self.seen: dict[str, Decided] = {}
+        self.basis, self.refusing, self.told = "", "", None
+        super().__init__(settings)
+
+    def note(self, job: object) -> Decided:
+        return self.seen.setdefault(job.req.id, Decided())
+
+    def admit(self, job: object) -> None:
+        customer = job.customer
+        if customer.part >= job.req.units and not customer.plan.max_out:
+            self.basis = PART
+        elif customer.home == self.set.me:
+            self.basis = HOME
+        elif self.now - customer.heard_us < rules.WORD_FRESH_US:
+            self.basis = LAST_WORD
+        else:
+            self.basis = SILENT
+        super().admit(job)
+
+    def end_waits(self, told: object = None, granted: float = 0.0) -> None:
+        self.basis, self.told = NO_WORD, told
+        super().end_waits(told, granted)
+        self.told = None
+
+    def decide(self, job: object, chance: float) -> None:
+        note = self.note(job)
+        note.basis, note.chance, note.home = self.basis, chance, job.customer.home
+        if self.told is not None and job.customer is self.told:
+            note.basis = WORD
+        before, self.refusing = self.refusing, "quota"
+        super().decide(job, chance)
+        self.refusing = before
+        note.inside = job.in_quota
+
+    def release(self) -> None:
+        """Whoever is refused in here is not refused for its quota."""
+        before, self.refusing = self.refusing, ""
+        super().release()
+        self.refusing = before
+
+    def expire(self, job: object, *args: float) -> bool:
+        before, self.refusing = self.refusing, self.held_by(job)
+        over = super().expire(job, *args)
+        self.refusing = before
+        return over
+
+    def held_by(self, job: object) -> str:
+        """What keeps a request that has not been sent from leaving."""
+        if job.servers:
+            return "no server again"
+        if job in self.waits:
+            return "waiting for word"
+        if self.note(job).basis == "":
+            return "late on arrival"
+        if not self.under_ceiling(job):
+            return "ceiling"
+        if self.n_past is not None and not self.allowance():
+            return "cap" if self.out < self.most_out() else "out at once"
+        if self.out >= self.most_out():
+            return "out at once"
+        return "no server" if not self.up else "turn too late"
+
+    def on_outcome(self, event: i.Outcome) -> None:
+        before, self.refusing = self.refusing, "attempts failed"
+        super().on_outcome(event)
+        self.refusing = before
+
+    def on_draining(self, event: i.Draining) -> None:
+        before, self.refusing = self.refusing, "draining"
+        super().on_draining(event)
+        self.refusing = before
+
+    def end(self, job: object, *args: int) -> None:
+        self.note(job).why = self.refusing or "other"
+        super().end(job, *args)
