Split the decisions by concern: cap, quota, choice and health

Change: base.py (requests, clock), choice.py (servers, which one, their health), cap.py (N and what is out), quota.py (customers, words, ceiling); rules.py keeps a request's way through them. Each owns its state in its own constructor. Behaviour is as it was.

--- a/model/watched.py
+++ b/model/watched.py
@@ -9,6 +9,11 @@
 from fennelwinch import interface as i
 from fennelwinch import rules
 
+try:
+    from fennelwinch.quota import WORD_FRESH_US
+except ImportError:  # an older revision, with all decisions in one file
+    from fennelwinch.rules import WORD_FRESH_US
+
 # On what basis a quota was decided.
 PART, HOME, LAST_WORD, SILENT = "own part", "home", "last word", "silent home"
 WORD, NO_WORD = "word", "no word"
@@ -40,7 +45,7 @@
             self.basis = PART
         elif customer.home == self.set.me:
             self.basis = HOME
-        elif self.now - customer.heard_us < rules.WORD_FRESH_US:
+        elif self.now - customer.heard_us < WORD_FRESH_US:
             self.basis = LAST_WORD
         else:
             self.basis = SILENT
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from fennelwinch import interface as i
-from fennelwinch.rules import _Job
+from fennelwinch.base import Job
 from molereach import backends
 from molereach.backends import Attempt
 from molereach.frontdoor import Exchange
@@ -126,7 +126,7 @@
                 await asyncio.sleep(0.001)
             ours = {task for task in asyncio.all_tasks() - before if "molereach" in repr(task.get_coro())}
             assert not ours
-            assert not living(Exchange, Attempt, _Job)
+            assert not living(Exchange, Attempt, Job)
 
     run(job())
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """Scripted events in, actions out: the cap, the quota, the five rules and health."""
 
+import tomllib
 import zlib
 from dataclasses import replace
 from pathlib import Path
@@ -7,7 +8,8 @@
 import pytest
 
 from fennelwinch import interface as i
-from fennelwinch.rules import TARGETS, Gateway, next_n
+from fennelwinch.cap import TARGETS, next_n
+from fennelwinch.rules import Gateway
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
 
 UTIL = TARGETS["util"]
@@ -542,7 +544,11 @@
 
 
 def test_module_size() -> None:
-    lines = (Path(__file__).parent.parent / "fennelwinch" / "rules.py").read_text().splitlines()
+    root = Path(__file__).parent.parent
+    policy = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
+    decisions = {"base.py", "cap.py", "choice.py", "fleet.py", "quota.py", "rules.py"}
+    assert set(policy) == {f"fennelwinch/{name}" for name in decisions}
+    lines = [line for name in policy for line in (root / name).read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
 
