Tell unmarked retries by what is left of their time, and let late ones give way

A refused try comes again, is let in as if it were new, takes a unit of its customer's quota and a place at a server, and is answered after the aim of its first try.

Change: fennelwinch/patience.py keeps a small table of the times that a class's tries say. A time that is common, or a little less than a common one, is a first try's; any other dates the try by the class's deadline. Too late for its aim, a try without late worth is refused at once; one with late worth counts as much less in the order of release, and is refused without cost to its customer where the quota is scarce. All are told when to come back. While a drain cuts times, nothing is made of them.

--- a/model/books.py
+++ b/model/books.py
@@ -12,7 +12,8 @@
 WINDOW_S = 10  # of the worst stretch (the brief)
 WEIGHTS = (0.55, 0.2, 0.25)  # of the whole run, its worst stretch and its worst-served plan (the brief)
 
-SERVED, LATE, OVER, GAINED = "served in time", "served late", "served beyond quota", "beyond one gateway's"
+SERVED, OVER, GAINED = "served in time", "served beyond quota", "beyond one gateway's"
+LATE = "late"  # served late: with the cause that kept its try before that from being served
 
 
 class Books:
--- a/model/clients.py
+++ b/model/clients.py
@@ -19,6 +19,7 @@
     from model.doors import Door
 
 RECENT_US = 5 * S  # after a start for which what a door does not know is the cause of what it lets by
+TOO_LATE = ("late on arrival", "late retry")  # refusals that come of why an earlier try was not served
 REFUSED_US = 1 * MS  # until a connection to a door that is not there is refused
 
 
@@ -59,12 +60,14 @@
 class Ask:
     """What a client wants, from its first try to the last."""
 
-    __slots__ = ("aim_us", "customer", "end_us", "first_us", "ideal", "kind", "tries", "work_us", "worth")
+    __slots__ = ("aim_us", "cause", "customer", "end_us", "first_us", "ideal", "kind", "tries", "work_us",
+                 "worth")
 
     def __init__(self, customer: Customer, kind: int, work_us: float, worth: float, now: int) -> None:
         self.customer, self.kind, self.work_us, self.worth = customer, kind, work_us, worth
         self.first_us = now
         self.tries, self.ideal = 0, False
+        self.cause = "a slow answer"  # why it is not served yet: of its last try that was not
         self.aim_us = self.end_us = now
 
 
@@ -174,13 +177,15 @@
         """The one cause of a refusal; those for the quota by whether there was room in truth."""
         if note is None or not note.why:
             return "unknown"
-        if note.why != "quota":
+        account, now = try_.ask.customer.account, self.day.clock.now
+        store = account.ceiling if note.why == "ceiling" else account.quota
+        if store is None or note.why not in ("quota", "ceiling"):
             return note.why
-        store, now = try_.ask.customer.account.quota, self.day.clock.now
         level = store.refill(now)
         if level < 1.0:
-            return "beyond quota"
-        return f"{'half unused' if 2 * level >= store.burst else 'some room'}, {note.basis}"
+            return f"beyond {note.why}"
+        room = "half unused" if 2 * level >= store.burst else "some room"
+        return f"{room}, {note.why if note.why == 'ceiling' else note.basis}"
 
     def give_up(self, try_: Try) -> None:
         if try_.over:
@@ -198,13 +203,15 @@
         if how == "served":
             self.end(ask, try_, cause)
             return
+        if cause not in TOO_LATE or ask.tries == 1:
+            ask.cause = cause
         rule = day.scenario.classes[ask.kind]
         wait = self.wait_us(ask, retry_after_us)
         may = not rule.keyed or how in ("refused", "unreached")
         if may and ask.tries <= self.spec.retries and now + wait < ask.end_us:
             day.clock.after(wait, self.send, ask, try_.door)
         else:
-            self.end(ask, None, cause)
+            self.end(ask, None, cause if cause == ask.cause else f"{LATE} after {ask.cause}")
 
     def wait_us(self, ask: Ask, advice_us: int) -> float:
         if advice_us and self.stream.chance(self.honour):
@@ -224,7 +231,7 @@
         else:
             earned = ask.worth * (1.0 if served.inside else plan.over_worth)
             if now > ask.aim_us:
-                earned, cause = earned * rule.late_worth, LATE
+                earned, cause = earned * rule.late_worth, f"{LATE} after {ask.cause}"
             elif not served.inside:
                 cause = OVER
             else:
--- a/model/watched.py
+++ b/model/watched.py
@@ -49,7 +49,9 @@
             self.basis = LAST_WORD
         else:
             self.basis = SILENT
+        before, self.refusing = self.refusing, "late retry"
         super().admit(job)
+        self.refusing = before
 
     def end_waits(self, told: object = None, granted: float = 0.0) -> None:
         self.basis, self.told = NO_WORD, told
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,6 +9,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.cap import TARGETS, next_n
+from fennelwinch.patience import Patience
 from fennelwinch.rules import Gateway
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
 
@@ -546,7 +547,7 @@
 def test_module_size() -> None:
     root = Path(__file__).parent.parent
     policy = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
-    decisions = {"base.py", "cap.py", "choice.py", "fleet.py", "quota.py", "rules.py"}
+    decisions = {"base.py", "cap.py", "choice.py", "fleet.py", "patience.py", "quota.py", "rules.py"}
     assert set(policy) == {f"fennelwinch/{name}" for name in decisions}
     lines = [line for name in policy for line in (root / name).read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 1200
@@ -830,3 +831,93 @@
     assert sum(tried) - 20 <= 4 + 0.1 * 20  # half a store, and the share of first attempts
     told = [action.text for action in of(i.Log, world.run(3 * S))]
     assert told and "not begun" in told[0]
+
+
+# --- retries that nobody marks ---
+
+
+def asked(world: World, count: int, left_us: int) -> None:
+    """So many first tries, of a customer each, and their answers after 100 ms."""
+    for number in range(count):
+        world.ask(f"f{number}", left_us=left_us, customer=f"c{number}")
+        world.run(100 * MS)
+        if (f"f{number}", 0) in world.out:
+            world.answer(f"f{number}")
+
+
+def test_an_unmarked_retry_that_comes_too_late_is_refused_at_once() -> None:
+    world = World()  # aim 2 s, deadline 6 s
+    asked(world, 30, 6 * S)
+    fresh = world.ask("fresh", left_us=5 * S, customer="d")  # asked first 1 s ago
+    assert of(i.Send, fresh)
+    late = world.ask("late", left_us=6 * S - 2500 * MS, customer="d")
+    assert [action.id for action in of(i.Refuse, late)] == ["late"] and not of(i.Send, late)
+
+
+def test_clients_that_all_give_up_early_are_no_retries() -> None:
+    world = World()
+    asked(world, 30, 6 * S)
+    for number in range(12):  # more than one in seven says so: first tries do
+        world.ask(f"early{number}", left_us=3 * S, customer=f"e{number}")
+        if (f"early{number}", 0) in world.out:
+            world.answer(f"early{number}")
+    assert of(i.Send, world.ask("early", left_us=3 * S, customer="e"))
+
+
+def test_a_try_that_lay_unread_for_a_while_is_no_retry() -> None:
+    world = World()
+    asked(world, 30, 4 * S)  # of a deadline of 6 s: a retry would be 2 s old at least
+    assert of(i.Send, world.ask("delayed", left_us=4 * S - 250 * MS, customer="d"))
+    assert of(i.Refuse, world.ask("retry", left_us=3500 * MS, customer="d"))
+
+
+def test_too_few_tries_tell_nothing_of_retries() -> None:
+    world = World()
+    asked(world, 5, 6 * S)
+    assert of(i.Send, world.ask("x", left_us=3 * S, customer="d"))
+
+
+def test_a_drain_cuts_times_and_makes_no_retries_of_them() -> None:
+    world = World()
+    asked(world, 30, 6 * S)
+    world.tell(i.Draining(3 * S))
+    assert of(i.Send, world.ask("x", left_us=3 * S, customer="d"))
+
+
+def test_late_worth_gives_way_where_the_quota_is_scarce_and_only_there() -> None:
+    rule = replace(SAFE, late_worth=0.2)
+    world = World(replace(SETTINGS, classes=(rule,)))
+    asked(world, 30, 6 * S)
+    assert of(i.Send, world.ask("late", left_us=3 * S, customer="rich"))  # nobody else wants its unit
+    for number in range(25):  # its burst is 20
+        world.ask(f"p{number}", left_us=6 * S, customer="poor")
+    refused = world.ask("poor-late", left_us=3 * S, customer="poor")
+    assert [action.id for action in of(i.Refuse, refused)] == ["poor-late"]
+    before = world.gateway.customers[next(reversed(world.gateway.customers))].own
+    world.ask("poor-late-2", left_us=3 * S, customer="poor")
+    after = world.gateway.customers[next(reversed(world.gateway.customers))].own
+    assert after <= before  # it is no demand: what comes in time keeps its chance
+
+
+def test_held_requests_that_can_earn_little_leave_last() -> None:
+    rule = replace(SAFE, late_worth=0.2)
+    world = World(replace(SETTINGS, classes=(rule,)))
+    asked(world, 30, 6 * S)
+    world.gateway.up.clear()
+    world.ask("late", left_us=3 * S, customer="a")
+    world.ask("fresh", left_us=6 * S, customer="b")
+    held = [job.req.id for _, _, job in world.gateway.held]
+    assert held.index("fresh") < held.index("late")
+
+
+def test_what_is_known_of_patience_stays_small_and_follows_change() -> None:
+    waits = Patience()
+    for number in range(5000):
+        waits.note(number * 7919 % 6_000_000)
+    assert len(waits.counts) <= 121 and waits.seen <= 400
+    for _ in range(400):
+        waits.note(2 * S)
+    assert waits.is_common(2 * S) and not waits.is_common(4 * S)
+    for _ in range(1200):
+        waits.note(4 * S)
+    assert waits.is_common(4 * S) and not waits.is_common(2 * S)
