--- a/model/clients.py
+++ b/model/clients.py
@@ -185,7 +185,7 @@
         if level < 1.0:
             return f"beyond {note.why}"
         room = "half unused" if 2 * level >= store.burst else "some room"
-        return f"{room}, {note.why if note.why == 'ceiling' else note.basis}"
+        return f"{room}, {'ceiling, ' if note.why == 'ceiling' else ''}{note.basis}"
 
     def give_up(self, try_: Try) -> None:
         if try_.over:
--- a/model/watched.py
+++ b/model/watched.py
@@ -41,9 +41,10 @@
 
     def admit(self, job: object) -> None:
         customer = job.customer
-        if customer.part >= job.req.units and not customer.plan.max_out:
+        alone, units = customer.home == self.set.me, job.req.units
+        if not customer.plan.max_out and customer.part >= units and (alone or customer.allows(units)):
             self.basis = PART
-        elif customer.home == self.set.me:
+        elif alone:
             self.basis = HOME
         elif self.now - customer.heard_us < WORD_FRESH_US:
             self.basis = LAST_WORD
