Hold the model's ranking of revisions against the benches'

Need: how far the model can be trusted is to be measured. Older modules lack some methods and settings; the model passes over those.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import sys
+import tempfile
 import time
 from pathlib import Path
 from typing import BinaryIO
@@ -14,8 +16,8 @@
 
 from model import day as days
 from model.errors import ModelError
-from model.experiment import BROKEN, ROOT, Play, Runner, figures, revision, set_constant, table
-from model.scenario import known, load
+from model.experiment import BROKEN, ROOT, Play, Runner, revision, set_constant, table
+from model.scenario import dump, known, load
 
 BAD_INPUT, STOPPED = 2, 130  # exit codes; 1 is a fault's
 
@@ -204,7 +206,34 @@
         sys.exit(BROKEN)
 
 
-__all__ = ["cli", "figures"]
+@cli.command()
+@click.argument("bench", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--base", required=True, metavar="REV", help="The revision that the others are held against.")
+@SEEDS
+@JOBS
+def fidelity(bench: Path, base: str, seeds: int, jobs: int) -> None:
+    """How the model ranks the revisions that the bench's figures in BENCH (JSON lines) name; a table."""
+    from model.fidelity import Figure, fitting, read, render, table
+
+    seen = read(bench)
+    revs = sorted({figure.rev for figure in seen})
+    if base not in revs or len(revs) < 3:
+        raise ModelError(f"{bench}: {base} is not among at least three revisions")
+    with contextlib.ExitStack() as stack:
+        folders = {rev: stack.enter_context(revision(rev)) for rev in revs}
+        scratch = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="model-")))
+        plays, of = [], {}
+        for name, kind in sorted({(figure.bench, figure.kind) for figure in seen}):
+            scenario = fitting(name, kind)
+            path = scratch / f"{scenario.name}.toml"
+            path.write_text(dump(scenario))
+            of[scenario.name] = name, kind
+            plays += [Play(rev, folders[rev], str(path), seed)
+                      for seed in range(1, seeds + 1) for rev in revs]
+        found = [Figure(*of[total["scenario"]], total["seed"], total["side"], total["g"])
+                 for total in play_all(plays, jobs, None)]
+    click.echo(render(table(seen, found, base), base))
+
 
 if __name__ == "__main__":
     cli()
--- a/model/day.py
+++ b/model/day.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import fields
 
 import msgspec
 
@@ -83,7 +84,7 @@
                    over_cost=plan.over_cost, ceiling_rate=plan.ceiling[0], ceiling_burst=plan.ceiling[1],
                    ceiling_slack=plan.ceiling[2] if plan.ceiling[0] else 0.0)
             for plan in self.plans)
-        return i.Settings(
+        told = dict(
             seed=self.streams["doors"].whole(), me=number, gateways=scenario.doors, classes=classes,
             plans=plans, zone=zone, max_attempts=scenario.max_attempts,
             max_retry_after_us=round(scenario.clients.max_retry_after_ms * MS), may_probe=True,
@@ -95,6 +96,8 @@
             warm_within_us=round(scenario.warm_within_s * S), fall_multiple=scenario.fall_multiple,
             fall_us=round(scenario.fall_s * S),
         )
+        known = {field.name for field in fields(i.Settings)}  # an older revision has fewer
+        return i.Settings(**{name: value for name, value in told.items() if name in known})
 
     # --- a run ---
 
--- a/model/watched.py
+++ b/model/watched.py
@@ -42,7 +42,8 @@
     def admit(self, job: object) -> None:
         customer = job.customer
         alone, units = customer.home == self.set.me, job.req.units
-        if not customer.plan.max_out and customer.part >= units and (alone or customer.allows(units)):
+        allows = getattr(customer, "allows", lambda _: True)(units)
+        if not customer.plan.max_out and customer.part >= units and (alone or allows):
             self.basis = PART
         elif alone:
             self.basis = HOME
@@ -54,9 +55,9 @@
         super().admit(job)
         self.refusing = before
 
-    def end_waits(self, told: object = None, granted: float = 0.0) -> None:
+    def end_waits(self, told: object = None, *granted: float) -> None:
         self.basis, self.told = NO_WORD, told
-        super().end_waits(told, granted)
+        super().end_waits(told, *granted)
         self.told = None
 
     def decide(self, job: object, chance: float) -> None:
@@ -89,11 +90,12 @@
             return "waiting for word"
         if self.note(job).basis == "":
             return "late on arrival"
-        if not self.under_ceiling(job):
+        if not getattr(self, "under_ceiling", lambda _: True)(job):
             return "ceiling"
-        if self.n_past is not None and not self.allowance():
-            return "cap" if self.out < self.most_out() else "out at once"
-        if self.out >= self.most_out():
+        full = hasattr(self, "most_out") and self.out >= self.most_out()
+        if not full and self.n_past is not None and not self.allowance():
+            return "cap"
+        if full:
             return "out at once"
         return "no server" if not self.up else "turn too late"
 
