--- a/model/report.py
+++ b/model/report.py
@@ -74,13 +74,13 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    figure, axes = pyplot.subplots(5, 1, figsize=(10, 17), layout="constrained")
+    figure, axes = pyplot.subplots(5, 1, figsize=(12, 17), layout="constrained")
     at = [second["at"] for second in run.seconds]
     for name in run.total["classes"]:
         shares = [earned / offered if offered else None
                   for second in run.seconds for offered, earned in [second["classes"][name]]]
         axes[0].plot(at, shares, marker=".", label=name)
-    axes[0].set(title="served, as a share of the worth offered", ylim=(0, 1.15), xlabel="second")
+    axes[0].set(title="served, as a share of the worth offered", ylim=(0, 1.3), xlabel="second")
     for axis, key, title, unit in (
         (axes[1], "refused", "refusals by cause", "tries a second"),
         (axes[2], "over", "units beyond quota by cause", "units a second"),
@@ -98,7 +98,7 @@
                 xlabel="server")
     for axis in axes:
         if axis.get_legend_handles_labels()[0]:
-            axis.legend(fontsize="small", loc="upper right")
+            axis.legend(fontsize="small", loc="upper left", bbox_to_anchor=(1.0, 1.0))  # beside the curves
         axis.grid(alpha=0.3)
     buffer = io.BytesIO()
     figure.savefig(buffer, format="png", dpi=80, metadata={"Software": None})
