Begin the list service: its store with leases and generations, and its log

Need: front doors read the list of scan servers from a service that the project does not have. Change: `roster/store.py`, pure: instances with leases, a generation for each change, a bounded history, readers from elsewhere reset, conflicts refused, leases that lapse in a mass or over a pause kept for 30 s with a warning. Measured: 40 tests, among them a log cut at every byte of its last records and readers that resume over random writes and crashes. Not there yet: server, follower, registration.

--- /dev/null
+++ b/tests/test_roster_store.py
@@ -0,0 +1,374 @@
+"""The list service's store and log: generations, leases, history, and what a crash leaves."""
+
+import errno
+import os
+from dataclasses import asdict, replace
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as options
+from hypothesis import strategies as st
+
+from roster import store as stores
+from roster.log import DamageError, Log, read_log
+from roster.store import (
+    DELETED,
+    DRAINING,
+    GRACE_MS,
+    MASS_WINDOW_MS,
+    MOST_GENERATION,
+    MOST_HISTORY,
+    SERVING,
+    ConflictError,
+    Instance,
+    RefusedError,
+    Store,
+    UnknownError,
+    read_instance,
+)
+
+UNIX_MS = 1_790_000_000_000
+
+
+def instance(name: str = "s-1", port: int = 0, **changes: object) -> Instance:
+    values = {"id": name, "address": f"127.0.0.1:{port or 6000 + int(name.split('-')[1])}", "zone": "east",
+              "machine_type": "m1", "started_ms": 5, "lease_ms": 10_000}
+    return replace(read_instance(values), **changes)
+
+
+def filled(count: int, now_ms: int = 0) -> tuple[Store, list[str]]:
+    warnings: list[str] = []
+    store = Store(UNIX_MS, now_ms, warnings.append)
+    for number in range(count):
+        store.register(instance(f"s-{number}"), now_ms)
+    return store, warnings
+
+
+def run(store: Store, from_ms: int, until_ms: int, *renewing: str) -> list[str]:
+    """A tick each second, in which these renew: whose leases made them gone."""
+    gone = []
+    for now in range(from_ms, until_ms, 1000):
+        for name in renewing:
+            store.renew(name, now)
+        gone += [change.id for change in store.tick(now)]
+    return gone
+
+
+# --- generations and reads ---
+
+
+def test_each_change_has_the_next_generation_and_a_reader_gets_what_it_lacks() -> None:
+    store, _ = filled(2)
+    start = store.generation
+    store.update("s-0", store.get("s-0").generation, DRAINING, 0)
+    store.leave("s-1")
+    news = store.after(start)
+    assert [(one.id, one.lifecycle) for one in news.instances] == [("s-0", DRAINING), ("s-1", DELETED)]
+    assert not news.reset and news.generation == start + 2
+    assert store.after(news.generation).instances == ()
+    assert store.whole().shown()["instances"] == [{
+        "instanceId": "s-0", "hostPort": "127.0.0.1:6000", "zone": "east", "machineType": "m1", "cell": 0,
+        "lifecycle": "DRAINING", "weight": 1.0, "startedAtMs": 5}]
+
+
+def test_a_reader_from_before_from_the_future_or_of_another_history_gets_all() -> None:
+    store, _ = filled(3)
+    for generation in (0, store.floor - 1, store.generation + 1, 41):
+        news = store.after(generation)
+        assert news.reset and len(news.instances) == 3
+    for _ in range(MOST_HISTORY):
+        store.update("s-0", store.get("s-0").generation,
+                     DRAINING if store.get("s-0").lifecycle == SERVING else SERVING, 0)
+    assert store.after(store.generation - MOST_HISTORY - 1).reset  # the history has just been cut there
+    assert not store.after(store.generation - MOST_HISTORY).reset
+    assert len(store.history) == MOST_HISTORY
+
+
+def test_generations_of_a_later_history_are_above_and_fit_a_json_number() -> None:
+    first = Store(UNIX_MS, 0)
+    for _ in range(1000):
+        first.register(instance(), 0)
+        first.leave("s-1")
+    assert Store(UNIX_MS + 2, 0).generation > first.generation  # 2 ms later, with all data lost
+    assert first.generation < MOST_GENERATION == 2**53 - 1
+    last = Store(1 << 62, 0)
+    with pytest.raises(RefusedError, match="used up"):
+        for _ in range(3):
+            last.register(instance(), 0)
+            last.leave("s-1")
+
+
+def test_a_delete_and_a_new_registration_between_two_reads_show_as_the_last() -> None:
+    store, _ = filled(1)
+    seen = store.generation
+    store.leave("s-0")
+    store.register(instance("s-0", started_ms=9), 0)
+    assert [(one.lifecycle, one.started_ms) for one in store.after(seen).instances] == [(SERVING, 9)]
+
+
+# --- registration ---
+
+
+def test_an_id_at_another_address_and_an_address_under_another_id() -> None:
+    store, _ = filled(1)
+    seen = store.generation
+    store.register(instance("s-0", 7000), 0)
+    store.register(instance("s-9", 7000), 0)
+    assert [(one.id, one.lifecycle) for one in store.after(seen).instances] == [
+        ("s-0", DELETED), ("s-9", SERVING)]
+    store.register(instance("s-0"), 0)  # its old address is free again
+    assert set(store.instances) == {"s-0", "s-9"}
+
+
+def test_the_same_registration_again_changes_nothing_and_keeps_a_drain() -> None:
+    store, _ = filled(1)
+    store.update("s-0", store.get("s-0").generation, DRAINING, 0)
+    before = store.generation
+    assert store.register(instance("s-0"), 5000).lifecycle == DRAINING
+    assert store.generation == before and store.expires["s-0"] == 15_000
+    assert store.register(instance("s-0", started_ms=6), 0).lifecycle == SERVING  # a new process serves
+
+
+def test_an_update_by_an_older_generation_is_a_conflict() -> None:
+    store, _ = filled(1)
+    known = store.get("s-0").generation
+    store.update("s-0", known, DRAINING, 0)
+    with pytest.raises(ConflictError, match=str(known)):
+        store.update("s-0", known, SERVING, 0)
+    with pytest.raises(UnknownError):
+        store.update("s-7", known, SERVING, 0)
+    with pytest.raises(RefusedError, match="lifecycle"):
+        store.update("s-0", store.generation, "GONE", 0)
+
+
+@pytest.mark.parametrize("key, value", [
+    ("id", ""), ("id", "a b"), ("id", "x" * 65), ("id", 7), ("zone", "\n"), ("address", "localhost:1"),
+    ("address", "127.0.0.1:0"), ("address", "127.0.0.256:1"), ("address", "127.0.0.1:65536"), ("cell", -1),
+    ("cell", True), ("weight", 0), ("weight", float("nan")), ("weight", float("inf")), ("lease_ms", 10),
+    ("lease_ms", 1e4), ("started_ms", -1), ("colour", "red"), ("generation", 4), ("lifecycle", "SERVING"),
+])
+def test_a_registration_that_makes_no_sense_names_the_key(key: str, value: object) -> None:
+    values = {name: found for name, found in asdict(instance()).items()
+              if name not in ("lifecycle", "generation")}
+    assert read_instance(values) == instance()
+    with pytest.raises(RefusedError, match=key):
+        read_instance({**values, key: value})
+    if key in ("id", "zone", "address"):
+        del values[key]
+        with pytest.raises(RefusedError, match=f"'{key}' is missing"):
+            read_instance(values)
+
+
+def test_there_is_a_most_of_instances(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(stores, "MOST_INSTANCES", 2)
+    store, _ = filled(2)
+    with pytest.raises(RefusedError, match="2 instances already"):
+        store.register(instance("s-5"), 0)
+    store.register(instance("s-1", started_ms=8), 0)  # one that is known is no further one
+
+
+# --- leases ---
+
+
+def test_one_lapsed_lease_makes_one_gone_and_renewals_keep_the_others() -> None:
+    store, warnings = filled(10)
+    others = [f"s-{number}" for number in range(1, 10)]
+    assert run(store, 0, 10_000 + MASS_WINDOW_MS, *others) == []
+    assert run(store, 10_000 + MASS_WINDOW_MS, 22_000, *others) == ["s-0"]
+    assert set(store.instances) == set(others) and warnings == []
+
+
+def test_many_that_lapse_at_once_are_kept_for_the_grace_with_a_warning() -> None:
+    store, warnings = filled(10)
+    kept = ["s-0", "s-1"]
+    assert run(store, 0, 10_000 + GRACE_MS, *kept) == []
+    assert len(warnings) == 1 and "8 of 10 leases" in warnings[0]
+    back = [f"s-{number}" for number in range(8)]  # six are heard again in time
+    store, warnings = filled(10)
+    assert run(store, 0, 25_000, *kept) == []
+    assert sorted(run(store, 25_000, 60_000, *back)) == ["s-8", "s-9"]
+    assert len(warnings) == 1
+
+
+def test_those_that_stay_away_are_gone_after_the_grace() -> None:
+    store, _ = filled(10)
+    gone = run(store, 0, 80_000, "s-0")
+    assert sorted(gone) == [f"s-{number}" for number in range(1, 10)]
+
+
+def test_a_service_that_paused_keeps_every_lease_for_the_grace() -> None:
+    store, warnings = filled(10)
+    assert run(store, 0, 5_000) == []
+    assert store.tick(35_000) == []  # a pause of 30 s, and it wakes with every lease lapsed
+    assert len(warnings) == 1 and "paused for 31 s" in warnings[0]
+    everyone = [f"s-{number}" for number in range(10)]
+    assert run(store, 36_000, 90_000, *everyone) == []
+    assert len(store.instances) == 10
+
+
+def test_a_drain_and_a_leave_hold_at_once_whatever_is_kept() -> None:
+    store, _ = filled(10)
+    run(store, 0, 15_000)
+    store.update("s-3", store.get("s-3").generation, DRAINING, 15_000)
+    store.leave("s-4")
+    assert store.get("s-3").lifecycle == DRAINING and "s-4" not in store.instances
+
+
+# --- the log ---
+
+
+def opened(folder: Path, unix_ms: int = UNIX_MS) -> tuple[Log, Store]:
+    log = Log(folder)
+    return log, log.open(unix_ms, 0)
+
+
+def test_the_list_outlives_the_process(tmp_path: Path) -> None:
+    log, store = opened(tmp_path)
+    for number in range(3):
+        store.register(instance(f"s-{number}"), 0)
+    store.update("s-1", store.get("s-1").generation, DRAINING, 0)
+    store.leave("s-2")
+    log.close()
+    log, again = opened(tmp_path, UNIX_MS + 1_000_000)
+    assert again.instances == store.instances and again.generation == store.generation
+    assert again.after(store.generation - 1).instances == store.after(store.generation - 1).instances
+    assert again.register(instance("s-7"), 0).generation == store.generation + 1
+    log.close()
+
+
+def test_a_log_cut_at_every_byte_of_its_last_records_is_read_up_to_there(tmp_path: Path) -> None:
+    log, store = opened(tmp_path)
+    states = [(store.generation, dict(store.instances))]
+    ends = [0]
+    for number in range(4):
+        store.register(instance(f"s-{number % 3}", started_ms=number), 0)
+        states.append((store.generation, dict(store.instances)))
+        ends.append(log.size)
+    log.close()
+    whole = (tmp_path / "log").read_bytes()
+    for cut in range(ends[2], len(whole) + 1):
+        (tmp_path / "log").write_bytes(whole[:cut])
+        log, again = opened(tmp_path)
+        known = sum(end <= cut for end in ends) - 1
+        assert (again.generation, again.instances) == states[known]
+        fresh = again.register(instance("s-8"), 0)
+        assert fresh.generation == states[known][0] + 1
+        log.close()
+        assert len(read_log((tmp_path / "log").read_bytes(), "log")[0]) == known + 1
+
+
+def test_damage_before_the_last_record_stops_the_start_with_one_line(tmp_path: Path) -> None:
+    log, store = opened(tmp_path)
+    for number in range(4):
+        store.register(instance(f"s-{number}"), 0)
+    log.close()
+    whole = bytearray((tmp_path / "log").read_bytes())
+    for at in range(0, len(whole) // 2, 7):
+        broken = bytearray(whole)
+        broken[at] ^= 0x40
+        (tmp_path / "log").write_bytes(broken)
+        with pytest.raises(DamageError, match="damaged at byte") as error:
+            opened(tmp_path)
+        assert "\n" not in str(error.value)
+    (tmp_path / "log").write_bytes(whole)
+    (tmp_path / "snapshot").write_bytes((tmp_path / "snapshot").read_bytes()[:-1])
+    with pytest.raises(DamageError, match="snapshot is damaged"):
+        opened(tmp_path)
+    (tmp_path / "snapshot").unlink()
+    with pytest.raises(DamageError, match="snapshot is missing"):
+        opened(tmp_path)
+
+
+def test_a_full_disk_turns_writes_away_and_changes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    log, store = opened(tmp_path)
+    store.register(instance("s-0"), 0)
+    before, size = store.generation, (tmp_path / "log").stat().st_size
+    write = os.pwrite
+
+    def full(file: int, data: bytes, at: int) -> int:
+        write(file, data[:5], at)
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(os, "pwrite", full)
+    with pytest.raises(RefusedError, match="No space left"):
+        store.register(instance("s-1"), 0)
+    assert store.generation == before and (tmp_path / "log").stat().st_size == size
+    assert [one.id for one in store.whole().instances] == ["s-0"]
+    monkeypatch.setattr(os, "pwrite", write)
+    assert store.register(instance("s-1"), 0).generation == before + 1
+    log.close()
+
+
+def test_a_snapshot_takes_the_logs_place_and_a_crash_between_the_two_is_borne(tmp_path: Path) -> None:
+    log, store = opened(tmp_path)
+    for number in range(3):
+        store.register(instance(f"s-{number}"), 0)
+    old = (tmp_path / "log").read_bytes()
+    log.snapshot(store)
+    assert (tmp_path / "log").stat().st_size == 0 and log.records == 0
+    log.close()
+    (tmp_path / "log").write_bytes(old)  # as though the log had not been emptied
+    (tmp_path / "snapshot.new").write_bytes(b"half of one")
+    log, again = opened(tmp_path)
+    assert again.instances == store.instances and again.generation == store.generation
+    log.close()
+
+
+def test_with_its_folder_lost_or_older_the_service_repeats_no_generation(tmp_path: Path) -> None:
+    log, store = opened(tmp_path / "a")
+    store.register(instance("s-0"), 0)
+    log.close()
+    log, fresh = opened(tmp_path / "b", UNIX_MS + 1)
+    assert fresh.generation > store.generation and fresh.after(store.generation).reset
+    log.close()
+
+
+STEPS = st.lists(st.tuples(st.sampled_from(["register", "drain", "leave", "renew", "tick", "crash", "cut"]),
+                           st.integers(0, 5), st.integers(0, 12_000)), max_size=40)
+
+
+@options(derandomize=True, deadline=None, max_examples=40)
+@given(steps=STEPS, reads=st.lists(st.integers(0, 40), max_size=6))
+def test_readers_that_resume_end_with_the_stores_list_over_writes_and_crashes(
+    tmp_path_factory: pytest.TempPathFactory, steps: list[tuple[str, int, int]], reads: list[int]
+) -> None:
+    folder = tmp_path_factory.mktemp("list")
+    log, store = opened(folder)
+    now, seen, held = 0, {}, 0
+    last = store.generation
+    for at, (what, number, span) in enumerate(steps):
+        name = f"s-{number}"
+        if what == "register":
+            store.register(instance(name, started_ms=at), now)
+        elif what == "tick":
+            now += span
+            store.tick(now)
+        elif what in ("crash", "cut"):
+            log.close()
+            if what == "cut":  # what was never answered is lost with it: half a record
+                with (folder / "log").open("ab") as file:
+                    file.write(b"RstR\0\0")
+            log = Log(folder)
+            generation, instances = store.generation, store.instances
+            store = log.open(UNIX_MS + at, now)
+            assert (store.generation, store.instances) == (generation, instances)
+        elif name in store.instances:
+            if what == "drain":
+                store.update(name, store.get(name).generation, DRAINING, now)
+            else:
+                store.leave(name) if what == "leave" else store.renew(name, now)
+        assert store.generation >= last
+        last = store.generation
+        if at in reads or at == len(steps) - 1:  # it reads now and then, and loses what came in between
+            news = store.after(held)
+            seen = {} if news.reset else seen
+            for one in news.instances:
+                seen[one.id] = one
+                if one.lifecycle == DELETED:
+                    del seen[one.id]
+            held = news.generation
+            assert seen == store.instances
+    log.close()
