--- /dev/null
+++ b/roster/__main__.py
@@ -0,0 +1,62 @@
+"""Start of the list service: `python -m roster --data FOLDER --listen ADDRESS`."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import signal
+import sys
+from pathlib import Path
+
+import click
+from aiohttp import web
+
+from roster.log import DamageError
+from roster.server import Service
+
+SHUTDOWN_S = 3.0  # that what is being answered may take after SIGTERM
+MOST_HEADERS = 8190  # bytes of one header line
+
+
+async def serve(data: Path, host: str, port: int) -> None:
+    """Serve until SIGTERM or SIGINT; then watches end, and all is synced."""
+    service = Service(data)
+    runner = web.AppRunner(service.app, access_log=None, shutdown_timeout=SHUTDOWN_S,
+                           max_line_size=MOST_HEADERS, max_field_size=MOST_HEADERS)
+    await runner.setup()
+    try:
+        site = web.TCPSite(runner, host, port)
+        await site.start()
+        where = runner.addresses[0]
+        print(f"roster serves at {where[0]}:{where[1]}", flush=True)
+        stopped = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+        await stopped.wait()
+    finally:
+        await runner.cleanup()
+
+
+@click.command()
+@click.option("--data", type=click.Path(file_okay=False, path_type=Path), required=True,
+              help="The folder that holds the list.")
+@click.option("--listen", default="127.0.0.1:8500", show_default=True, metavar="HOST:PORT",
+              help="Port 0: one that the system chooses.")
+def main(data: Path, listen: str) -> None:
+    """The list of scan servers: registered with leases, read whole or by a watch."""
+    host, sign, port = listen.rpartition(":")
+    if not sign or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise click.BadParameter(f"'{listen}' is not HOST:PORT")
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    try:
+        asyncio.run(serve(data, host, int(port)))
+    except DamageError as error:
+        sys.exit(f"roster: {error}")
+    except OSError as error:
+        sys.exit(f"roster: {data} or {listen}: {error.strerror}")
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        main()
