Follow another list service: the same list and generations, for reading only

Need: readers have to go on when the first service is away, and see the same generations wherever they read. A whole list replaces all, as that of another history; changes that are not newer are passed over. It tells how old what it holds may be (`Age`, /status), answers 503 before its first list and 403 to writes, and tries again with full jitter. Messages are checked and bounded before anything is taken over. Measured: 19 tests, among them a follower of a follower, the first one restarted with and without its data, five kinds of nonsense, and readers that change between first and follower over random writes (derandomized).

--- a/roster/__main__.py
+++ b/roster/__main__.py
@@ -1,4 +1,4 @@
-"""Start of the list service: `python -m roster --data FOLDER --listen ADDRESS`."""
+"""Start of the list service: `python -m roster --data FOLDER`, or `--follow HOST:PORT`."""
 
 from __future__ import annotations
 
@@ -7,22 +7,23 @@
 import logging
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import click
 from aiohttp import web
 
+from roster.follow import Follower
 from roster.log import DamageError
-from roster.server import Service
+from roster.server import Reader, Service
 
 SHUTDOWN_S = 3.0  # that what is being answered may take after SIGTERM
 MOST_HEADERS = 8190  # bytes of one header line
 
 
-async def serve(data: Path, host: str, port: int) -> None:
+async def serve(service: Callable[[], Reader], host: str, port: int) -> None:
     """Serve until SIGTERM or SIGINT; then watches end, and all is synced."""
-    service = Service(data)
-    runner = web.AppRunner(service.app, access_log=None, shutdown_timeout=SHUTDOWN_S,
+    runner = web.AppRunner(service().app, access_log=None, shutdown_timeout=SHUTDOWN_S,
                            max_line_size=MOST_HEADERS, max_field_size=MOST_HEADERS)
     await runner.setup()
     try:
@@ -38,23 +39,34 @@
         await runner.cleanup()
 
 
+def split(address: str) -> tuple[str, int]:
+    host, sign, port = address.rpartition(":")
+    if not sign or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise click.BadParameter(f"'{address}' is not HOST:PORT")
+    return host, int(port)
+
+
 @click.command()
-@click.option("--data", type=click.Path(file_okay=False, path_type=Path), required=True,
+@click.option("--data", type=click.Path(file_okay=False, path_type=Path),
               help="The folder that holds the list.")
+@click.option("--follow", metavar="HOST:PORT", help="Serve the list of another, for reading only.")
 @click.option("--listen", default="127.0.0.1:8500", show_default=True, metavar="HOST:PORT",
               help="Port 0: one that the system chooses.")
-def main(data: Path, listen: str) -> None:
+def main(data: Path | None, follow: str | None, listen: str) -> None:
     """The list of scan servers: registered with leases, read whole or by a watch."""
-    host, sign, port = listen.rpartition(":")
-    if not sign or not port.isascii() or not port.isdigit() or int(port) > 65535:
-        raise click.BadParameter(f"'{listen}' is not HOST:PORT")
+    host, port = split(listen)
+    if (data is None) == (follow is None):
+        raise click.UsageError("one of --data and --follow is wanted")
+    if follow is not None:
+        split(follow)
+    service = (lambda: Service(data)) if data is not None else (lambda: Follower(follow))
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
-        asyncio.run(serve(data, host, int(port)))
+        asyncio.run(serve(service, host, port))
     except DamageError as error:
         sys.exit(f"roster: {error}")
     except OSError as error:
-        sys.exit(f"roster: {data} or {listen}: {error.strerror}")
+        sys.exit(f"roster: {data or follow} or {listen}: {error.strerror}")
 
 
 if __name__ == "__main__":
--- a/roster/server.py
+++ b/roster/server.py
@@ -12,12 +12,12 @@
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from aiohttp import web
 
 from roster.log import Log
-from roster.store import ConflictError, RefusedError, Store, UnknownError, read_instance
+from roster.store import ConflictError, News, RefusedError, Store, UnknownError, read_instance
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +39,10 @@
     return web.json_response(value, status=status)
 
 
+class UnavailableError(RefusedError):
+    """There is nothing to answer with yet."""
+
+
 @web.middleware
 async def refusals(
     request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -50,6 +54,8 @@
         return answer(409, {"error": str(error)})
     except UnknownError as error:
         return answer(404, {"error": str(error)})
+    except UnavailableError as error:
+        return answer(503, {"error": str(error)})
     except RefusedError as error:
         full = "cannot be kept" in str(error)
         return answer(507 if full else 400, {"error": str(error)})
@@ -59,61 +65,52 @@
         return answer(error.status, {"error": error.reason})
 
 
-class Service:
-    """One list, its log and its watchers."""
+class Held(Protocol):
+    """A list that can be read: the first one's store, or a follower's copy."""
 
-    def __init__(self, folder: Path) -> None:
-        """Reads the folder; a DamageError where it cannot be trusted."""
-        self.log = Log(folder)
-        self.store: Store = self.log.open(time.time_ns() // 1_000_000, now_ms())
+    generation: int
+
+    def whole(self) -> News: ...
+
+    def after(self, generation: int) -> News: ...
+
+
+class Reader:
+    """The read side: one list, and its watchers."""
+
+    def __init__(self, held: Held) -> None:
+        self.held = held
         self.changed = asyncio.Event()  # replaced at each change: who waits on the old one is woken
         self.watchers = 0
         self.stopping = False
         self.encoded: dict[tuple[int, int], bytes] = {}  # by the generation before and after
         self.app = web.Application(middlewares=[refusals], client_max_size=MOST_BODY)
-        self.app.add_routes([
-            web.get(READ_PATH, self.read), web.put(WRITE_PATH, self.register),
-            web.post(f"{WRITE_PATH}/renew", self.renew), web.patch(WRITE_PATH, self.update),
-            web.delete(WRITE_PATH, self.leave), web.get("/status", self.status),
-        ])
-        self.app.cleanup_ctx.append(self.running)
+        self.app.add_routes([web.get(READ_PATH, self.read), web.get("/status", self.status)])
         self.app.on_shutdown.append(self.stop)
 
-    async def running(self, _: web.Application) -> Any:  # noqa: ANN401 - aiohttp's context
-        ticking = asyncio.create_task(self.tick())
-        yield
-        ticking.cancel()
-        self.log.snapshot(self.store)
-        self.log.close()
-
     async def stop(self, _: web.Application) -> None:
         """Watches end with their last whole line."""
         self.stopping = True
         self.wake()
 
-    async def tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            try:
-                if self.store.tick(now_ms()):
-                    self.wake()
-            except RefusedError as error:
-                log.error("leases that lapsed are kept for now: %s", error)
-
     def wake(self) -> None:
+        """The list has changed, or the watches are to end."""
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
-        if self.log.due():
-            self.log.snapshot(self.store)
 
-    # --- reads ---
+    def age_ms(self) -> int:
+        """How old what is held may be; the first one's own list is never old."""
+        return 0
+
+    def ready(self) -> None:
+        """Whether there is a list to be read; where there is none, an UnavailableError."""
 
     def encode(self, after: int | None) -> bytes:
         """The line for readers at that generation (none: at no one), encoded once for all of them."""
-        key = -1 if after is None else after, self.store.generation
+        key = -1 if after is None else after, self.held.generation
         found = self.encoded.get(key)
         if found is None:
-            news = self.store.whole() if after is None else self.store.after(after)
+            news = self.held.whole() if after is None else self.held.after(after)
             found = json.dumps(news.shown(), separators=(",", ":")).encode() + b"\n"
             while len(self.encoded) >= MOST_ENCODED:
                 del self.encoded[next(iter(self.encoded))]
@@ -121,8 +118,10 @@
         return found
 
     async def read(self, request: web.Request) -> web.StreamResponse:
+        self.ready()
         if request.query.get("watch") != "1":
-            return web.Response(body=self.encode(None), content_type="application/json")
+            age = {"Age": str(self.age_ms() // 1000)}
+            return web.Response(body=self.encode(None), content_type="application/json", headers=age)
         text = request.query.get("after", "")
         if text and not (text.isascii() and text.isdigit() and len(text) <= 16):
             raise RefusedError("after is not a generation")
@@ -143,8 +142,8 @@
         try:
             while not self.stopping:
                 changed = self.changed
-                if after != self.store.generation:
-                    line, after = self.encode(after), self.store.generation
+                if after != self.held.generation:
+                    line, after = self.encode(after), self.held.generation
                     await asyncio.wait_for(response.write(line), LAG_S)
                     continue  # there may be more by now
                 try:
@@ -161,8 +160,50 @@
         return response
 
     async def status(self, _: web.Request) -> web.Response:
-        return answer(200, {"role": "first", "generation": self.store.generation, "age_ms": 0,
-                            "instances": len(self.store.instances), "watchers": self.watchers})
+        return answer(200, {**self.described(), "generation": self.held.generation, "age_ms": self.age_ms(),
+                            "watchers": self.watchers})
+
+    def described(self) -> dict[str, Any]:
+        return {}
+
+
+class Service(Reader):
+    """The first one: it takes writes, and has the list, its leases and its log."""
+
+    def __init__(self, folder: Path) -> None:
+        """Reads the folder; a DamageError where it cannot be trusted."""
+        self.log = Log(folder)
+        self.store: Store = self.log.open(time.time_ns() // 1_000_000, now_ms())
+        super().__init__(self.store)
+        self.app.add_routes([
+            web.put(WRITE_PATH, self.register), web.post(f"{WRITE_PATH}/renew", self.renew),
+            web.patch(WRITE_PATH, self.update), web.delete(WRITE_PATH, self.leave),
+        ])
+        self.app.cleanup_ctx.append(self.running)
+
+    async def running(self, _: web.Application) -> Any:  # noqa: ANN401 - aiohttp's context
+        ticking = asyncio.create_task(self.tick())
+        yield
+        ticking.cancel()
+        self.log.snapshot(self.store)
+        self.log.close()
+
+    async def tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            try:
+                if self.store.tick(now_ms()):
+                    self.wake()
+            except RefusedError as error:
+                log.error("leases that lapsed are kept for now: %s", error)
+
+    def wake(self) -> None:
+        super().wake()
+        if self.log.due():
+            self.log.snapshot(self.store)
+
+    def described(self) -> dict[str, Any]:
+        return {"role": "first", "instances": len(self.store.instances)}
 
     # --- writes ---
 
