--- /dev/null
+++ b/tests/test_roster_registration.py
@@ -0,0 +1,96 @@
+"""A scan server's registration, against a real list service on loopback."""
+
+import asyncio
+import random
+from pathlib import Path
+
+import pytest
+
+from roster import registration
+from roster.registration import Registration, RegistrationError
+from roster.server import Service
+from tests.test_roster_follow import play, until, up
+from tests.test_roster_server import values
+
+
+@pytest.fixture(autouse=True)
+def soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(registration, "BACKOFF_S", 0.02)
+    monkeypatch.setattr(registration, "MOST_BACKOFF_S", 0.1)
+
+
+def one(address: str, **changes: object) -> Registration:
+    return Registration(address, "s-1", values(6001, **changes), random.Random(1))
+
+
+def test_it_registers_renews_drains_and_leaves(tmp_path: Path) -> None:
+    async def act() -> None:
+        service = Service(tmp_path)
+        renewals = []
+        renew = service.store.renew
+        service.store.renew = lambda name, now: (renewals.append(now), renew(name, now))[1]
+        async with up(service) as address:
+            server = one(address, lease_ms=1000)
+            await server.start()
+            assert service.store.instances["s-1"].lifecycle == "SERVING"
+            await until(lambda: len(renewals) >= 4)
+            service.store.update("s-1", service.store.generation, "SERVING", 0)
+            await server.drain()
+            assert service.store.instances["s-1"].lifecycle == "DRAINING"
+            await server.leave()
+            assert service.store.instances == {}
+            await server.leave()  # twice is once
+
+    play(act)
+
+
+def test_a_drain_goes_by_what_the_service_has_by_now(tmp_path: Path) -> None:
+    async def act() -> None:
+        service = Service(tmp_path)
+        async with up(service) as address:
+            server = one(address)
+            await server.start()
+            for lifecycle in ("DRAINING", "SERVING"):  # somebody else has changed it meanwhile
+                service.store.update("s-1", service.store.get("s-1").generation, lifecycle, 0)
+            await server.drain()
+            assert service.store.instances["s-1"].lifecycle == "DRAINING"
+            await server.leave()
+
+    play(act)
+
+
+def test_a_service_that_starts_late_or_forgets_is_registered_with_again(tmp_path: Path) -> None:
+    async def act() -> None:
+        async with up(Service(tmp_path / "a")) as address:
+            port = int(address.rpartition(":")[2])
+        server = one(address, lease_ms=1000)
+        starting = asyncio.create_task(server.start())
+        await asyncio.sleep(0.1)
+        assert not starting.done()
+        service = Service(tmp_path / "b")
+        async with up(service, port):
+            await starting
+            assert "s-1" in service.store.instances
+            service.store.leave("s-1")  # as though it had lost its data
+            await until(lambda: "s-1" in service.store.instances)
+            await server.close()
+
+    play(act)
+
+
+def test_what_the_service_refuses_is_its_sentence(tmp_path: Path) -> None:
+    async def act() -> None:
+        async with up(Service(tmp_path)) as address:
+            server = one(address, weight=-1)
+            with pytest.raises(RegistrationError, match="weight"):
+                await server.start()
+            await server.close()
+        server = one(address)
+        server.generation = 1
+        starting = asyncio.create_task(server.start())
+        await asyncio.sleep(0.05)
+        starting.cancel()
+        with pytest.raises(RegistrationError, match="no answer in 5 tries"):
+            await server.leave()
+
+    play(act)
