Measure what watchers, changes and renewals cost the list service

Need: what 200 front doors and 200 scan servers cost the list service was not known. Change: `python -m bench roster`.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -44,6 +44,12 @@
     costs.add_argument("--json", type=Path, metavar="FILE", help="keep the figures")
     costs.add_argument("--against", metavar="REV", help="play another revision in turns with this tree")
     costs.add_argument("--pairs", type=whole(MOST_PAIRS), default=5, metavar="N", help="of plays")
+    lists_ = commands.add_parser("roster", help="what watchers, changes and renewals cost the list service")
+    lists_.add_argument("--watchers", type=whole(900), default=200, metavar="N")
+    lists_.add_argument("--instances", type=whole(2000), default=200, metavar="N")
+    lists_.add_argument("--changes", type=whole(10_000), default=50, metavar="N")
+    lists_.add_argument("--seed", type=whole(1 << 30), default=1, metavar="N")
+    lists_.add_argument("--json", type=Path, metavar="FILE", help="keep the figures")
     return found
 
 
@@ -74,6 +80,17 @@
         args.json.write_text(json.dumps(kept, indent=1) + "\n")
 
 
+async def run_roster(args: argparse.Namespace) -> None:
+    from bench import lists  # its packages are not those of a front door
+
+    if args.json:
+        check_writable(args.json)
+    found = await lists.play(args.watchers, args.instances, args.changes, args.seed)
+    print(lists.table(found))
+    if args.json:
+        args.json.write_text(json.dumps(lists.as_json(found), indent=1) + "\n")
+
+
 def check_writable(path: Path) -> None:
     """Before anything is played for nothing."""
     try:
@@ -87,7 +104,7 @@
     """Run the command; SIGTERM ends it as Ctrl-C does, with all that it started."""
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    await run_cost(args)
+    await (run_cost if args.command == "cost" else run_roster)(args)
 
 
 def main() -> int:
--- /dev/null
+++ b/tests/test_bench_lists.py
@@ -0,0 +1,24 @@
+"""The list service's bench: counts and bytes, never speed."""
+
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+from bench import lists
+from bench.process import ROOT
+
+
+def test_each_watcher_hears_each_change_once_and_in_few_bytes(tmp_path: Path) -> None:
+    found = asyncio.run(lists.play(watchers=5, instances=4, changes=6, seed=1))
+    assert len(found.write_to_last_ms) == 6 and sum(found.connects) == 5
+    assert 100 < found.bytes_a_change < 320  # one entry, its chunk's frame, and an empty line now and then
+    assert "5 watchers, 4 leased instances, 6 changes" in lists.table(found)
+    assert json.loads(json.dumps(lists.as_json(found)))["instances"] == 4
+
+
+def test_bad_input_is_one_line() -> None:
+    done = subprocess.run([sys.executable, "-m", "bench", "roster", "--watchers", "0"], cwd=ROOT,
+                          capture_output=True, text=True, timeout=60, check=False)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "--watchers" in done.stderr
