--- a/fennelwinch/base.py
+++ b/fennelwinch/base.py
@@ -34,6 +34,7 @@
         self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
         self.unsent = 0  # attempts that never came whole to a server
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
+        self.late = False  # its aim has passed at its client: it can earn but the worth of a late answer
         self.granted_until = -NEVER  # from the home's part of the ceiling
 
     def end_by(self, end_us: int) -> None:
--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -124,6 +124,9 @@
     def admit(self, job: Job) -> None:
         """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
         customer, units, home = job.customer, job.req.units, job.customer.home
+        if job.late and customer.chance(units) < 1:  # what is scarce goes to those that come in time
+            self.end(job)
+            return
         customer.own, customer.untold = customer.own + units, customer.untold + units
         most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
         heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -11,6 +11,7 @@
 from fennelwinch.base import NEVER, TICK_US, Job, S
 from fennelwinch.cap import FAIR_N, MOST_PERIODS
 from fennelwinch.choice import FEW_GATEWAYS, SMOOTH, Backend
+from fennelwinch.patience import Patience
 from fennelwinch.quota import Quota
 
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
@@ -33,6 +34,7 @@
         self.alarm_us = NEVER
         self.last_us = NEVER  # until when requests may last
         self.patience_us = [0] * len(settings.classes)  # how long clients wait for their first tries
+        self.waits_of = [Patience() for _ in settings.classes]  # what all their tries say
         self.retries = RETRY_STORE / 2
         self.not_again = 0  # further attempts that were not begun in this period, as none was left
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
@@ -71,8 +73,12 @@
         key = (zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
         customer = self.customer(key)
         rule = self.set.classes[req.class_index]
-        job = self.jobs[req.id] = Job(req, rule, customer, self.now, self.gone_us(req))
+        gone = self.gone_us(req)
+        late = gone + NEEDED_NEW * self.mean_us[req.class_index] >= rule.aim_us
+        job = self.jobs[req.id] = Job(req, rule, customer, self.now, 0 if rule.late_worth else gone)
         job.end_by(self.last_us)
+        if late and rule.late_worth:
+            job.late, job.worth = True, job.worth * rule.late_worth
         if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
             self.admit(job)
 
@@ -85,15 +91,22 @@
                 self.expire(job, NEEDED_HELD)
 
     def gone_us(self, req: i.Request) -> int:
-        """How long ago the client first asked, at least: a retry has that much less of its time left.
+        """How long ago the client first asked, as far as it is known: a retry has that much less of its time.
 
-        What a retry would be served after the aim is worth nothing, and takes its customer's quota.
+        What a retry would be served after the aim is worth little or nothing, and takes its customer's quota.
+        Unmarked ones are told by a time to wait that first tries do not have; what a drain has cut tells
+        nothing.
         """
         known, rule = self.patience_us[req.class_index], self.set.classes[req.class_index]
+        if req.is_repeat:
+            return 0 if rule.late_worth else max(0, known - req.left_us)
+        if self.last_us == NEVER:
+            waits = self.waits_of[req.class_index]
+            waits.note(req.left_us)
+            if not waits.is_common(req.left_us):
+                return max(0, rule.deadline_us - req.left_us)
         if rule.late_worth:
             return 0
-        if req.is_repeat:
-            return max(0, known - req.left_us)
         # The least of late, as clients may differ; it recovers should they wait for longer from now on.
         longer = known + known // PATIENCE_STEPS + 1 if known else req.left_us
         self.patience_us[req.class_index] = min(req.left_us, longer)
