End the model's commands on Ctrl-C also where SIGINT was ignored at their start

Cause: a shell that starts a program in the background has it ignore SIGINT, and Python then sets no handler: a comparison started so went on after SIGINT, and so did the plays of its test. Lines at fault: model/__main__.py, cli(), which set SIGTERM only. Change: both signals get the handler that interrupts. Measured: a comparison in the background with 78 plays to go did not end before; the test of Ctrl-C passes from a background shell now.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -44,7 +44,8 @@
 @click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
 def cli() -> None:
     """The fleet in simulated time: one run, pairs against a revision, a constant at several values."""
-    signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(KeyboardInterrupt()))
+    for number in (signal.SIGINT, signal.SIGTERM):  # also where whoever started this had SIGINT ignored
+        signal.signal(number, signal.default_int_handler)
 
 
 SEED = click.option("--seed", type=click.IntRange(0, 2**53), default=1, show_default=True,
