--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -101,9 +101,11 @@
 
 
 async def until_told(args: argparse.Namespace) -> None:
-    """Run the command; SIGTERM ends it as Ctrl-C does, with all that it started."""
+    """Run the command; SIGTERM and SIGINT, also one that was ignored at the start, end it and all that it
+    started."""
     task = asyncio.current_task()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     await (run_cost if args.command == "cost" else run_roster)(args)
 
 
