Read a history in one place, and drop what the model kept and nobody read

Seen on rereading: `Store.after` and `Copy.after` held the same search of a history; model/ kept five fields that nothing read (Try.taken_us, Try.cause, Clients.open, Door.draining, Work.server) and the kinds of trouble a second time. Change: `roster.store.since` serves both; the fields are gone; KINDS comes from the scenario's own type.

--- a/model/clients.py
+++ b/model/clients.py
@@ -74,12 +74,11 @@
 class Try:
     """One request id: `booked` once its units were taken, `over` once its client knows how it ended."""
 
-    __slots__ = ("ask", "booked", "cause", "door", "end_us", "id", "inside", "over", "taken_us")
+    __slots__ = ("ask", "booked", "door", "end_us", "id", "inside", "over")
 
     def __init__(self, name: str, ask: Ask, door: Door, end_us: int) -> None:
         self.id, self.ask, self.door, self.end_us = name, ask, door, end_us
         self.booked = self.inside = self.over = False
-        self.taken_us, self.cause = 0, ""
 
 
 class Clients:
@@ -96,7 +95,6 @@
         self.aims = [round(rule.aim_ms * day.scenario.stretch * MS) for rule in day.scenario.classes]
         self.deadlines = [round(rule.deadline_ms * day.scenario.stretch * MS)
                           for rule in day.scenario.classes]
-        self.open = 0
 
     # --- asking ---
 
@@ -107,7 +105,6 @@
         ask.aim_us, ask.end_us = now + self.aims[kind], now + self.deadlines[kind]
         ask.ideal = customer.account.ideal.take(1.0, now)
         day.books.asks += 1
-        self.open += 1
         self.send(ask, None)
 
     def pick(self, customer: Customer, before: Door | None) -> Door:
@@ -236,7 +233,6 @@
                 cause = OVER
             else:
                 cause = SERVED if ask.ideal else GAINED
-        self.open -= 1
         second = (ask.first_us - day.start_us) // S
         if served is not None and now <= ask.aim_us:
             day.books.in_time[second] += 1
--- a/model/doors.py
+++ b/model/doors.py
@@ -62,7 +62,6 @@
         self.day, self.number, self.zone = day, number, zone
         self.gateway: Watched | None = None
         self.life = 0  # counts starts and ends: what was asked in an earlier life is void
-        self.draining = False
         self.started_us = 0
         self.intake, self.intake_at = 0.0, 0
         self.list_lag_us = day.streams["lists"].span(day.scenario.net.list_spread_ms) * MS
@@ -86,7 +85,7 @@
         """A fresh process with nothing but the last list of servers."""
         day = self.day
         self.life += 1
-        self.draining, self.started_us = False, day.clock.now
+        self.started_us = day.clock.now
         self.reset()
         self.intake, self.intake_at = 0.0, day.clock.now
         self.gateway = Watched(day.settings(self.number, self.zone))
@@ -118,7 +117,6 @@
     def drain(self, left_us: int) -> None:
         """SIGTERM: no request, open or new, lasts longer than `left_us`."""
         if self.gateway is not None:
-            self.draining = True
             if not hasattr(i, "Draining"):  # an older revision's module knows nothing of it
                 return
             for state in self.open.values():
@@ -196,7 +194,6 @@
         now = self.day.clock.now
         left = max(0, try_.end_us - now - int(self.day.scenario.net.way_ms * MS))
         self.open[try_.id] = Open(try_, now + left)
-        try_.taken_us = now
         ask = try_.ask
         customer = ask.customer
         self.handle(i.Request(
--- a/model/servers.py
+++ b/model/servers.py
@@ -23,13 +23,12 @@
 class Work:
     """A request at a scan server; `ended` is called once, at the server's side of the network."""
 
-    __slots__ = ("ended", "expires_us", "server", "state", "work_us")
+    __slots__ = ("ended", "expires_us", "state", "work_us")
 
     def __init__(self, work_us: float, expires_us: int, ended: Ended) -> None:
         """`work_us` is in microseconds of one core; at `expires_us` its front door stops waiting."""
         self.work_us, self.expires_us, self.ended = work_us, expires_us, ended
         self.state = "new"  # "waiting", "working" or "over"
-        self.server: ScanServer | None = None
 
 
 class Traits:
@@ -177,7 +176,6 @@
 
     def accept(self, work: Work, door: int, extra_us: float) -> None:
         """A request whose last byte has come; `extra_us` is the work of its handshake, if it needed one."""
-        work.server = self
         if not self.alive:
             work.state = "over"
             work.ended(work, "lost")
--- a/model/troubles.py
+++ b/model/troubles.py
@@ -4,11 +4,11 @@
 
 import math
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, get_args
 
 from fennelwinch import interface as i
 from model.clock import MS, S
-from model.scenario import Trouble
+from model.scenario import Kind, Trouble
 from model.servers import ScanServer
 
 if TYPE_CHECKING:
@@ -254,7 +254,5 @@
 
 
 KINDS: dict[str, Callable[[Troubles, Trouble], None]] = {
-    kind: getattr(Troubles, kind) for kind in (
-        "burst", "kill_doors", "restart_doors", "release", "zone_loss", "zone_cut", "silent", "bad", "slow",
-        "messages_lost", "lists_late", "hot_customers", "one_shots", "drop_answers", "errors_fast", "shrink")
+    kind: getattr(Troubles, kind) for kind in get_args(Kind)
 }
--- a/roster/follow.py
+++ b/roster/follow.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import contextlib
 import json
 import logging
@@ -29,8 +28,8 @@
     Instance,
     News,
     RefusedError,
-    merged,
     read_instance,
+    since,
 )
 
 log = logging.getLogger(__name__)
@@ -54,13 +53,7 @@
 
     def after(self, generation: int) -> News:
         """What came since; the whole list for a reader at a generation that no message ended with."""
-        if generation == self.generation:
-            return News(generation, False, ())
-        generations = [change.generation for change in self.history]
-        at = bisect.bisect_left(generations, generation)
-        if generation != self.floor and not (at < len(generations) and generations[at] == generation):
-            return self.whole()
-        return News(self.generation, False, merged(self.history, generation))
+        return since(self.history, self.floor, self.generation, generation) or self.whole()
 
     def take(self, news: News) -> bool:
         """Take over a message: whether it was newer. A whole list replaces all, whatever its generation, as
--- a/roster/store.py
+++ b/roster/store.py
@@ -9,7 +9,7 @@
 import bisect
 import re
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import asdict, dataclass, fields, replace
 from typing import Any
 
@@ -248,14 +248,7 @@
     def after(self, generation: int) -> News:
         """What changed since, each instance once in its last state; the whole list for a reader from before
         the history, from the future, or from another history."""
-        if generation == self.generation:
-            return News(generation, False, ())
-        generations = [change.generation for change in self.history]
-        at = bisect.bisect_left(generations, generation)
-        own = generation == self.floor or (at < len(generations) and generations[at] == generation)
-        if not own:
-            return self.whole()
-        return News(self.generation, False, merged(self.history, generation))
+        return since(self.history, self.floor, self.generation, generation) or self.whole()
 
     # --- snapshots ---
 
@@ -288,3 +281,14 @@
             last.pop(change.id, None)
             last[change.id] = change
     return tuple(last.values())
+
+
+def since(history: Sequence[Instance], floor: int, latest: int, generation: int) -> News | None:
+    """What changed after a generation, by a history of the changes past `floor` up to `latest`; None where
+    that generation is none of its own."""
+    if generation == latest:
+        return News(generation, False, ())
+    at = bisect.bisect_left(history, generation, key=lambda change: change.generation)
+    if generation != floor and not (at < len(history) and history[at].generation == generation):
+        return None
+    return News(latest, False, merged(history, generation))
