Add the rig: real processes with relays and faults between them, and checked histories

Need: nothing started several front doors and broke things between them, and nobody knew how long the fleet takes to full service after most doors restarted.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -58,6 +58,10 @@
             if len(self.buffer) < end + 2:
                 return None
         del self.buffer[: end + 2]
+        return self.word(mark, rest)
+
+    def word(self, mark: str, rest: bytes) -> str:
+        """What an answer is in one word, by its first line."""
         return {"$": "served", "+": "pong"}.get(mark) or ("refused" if rest.startswith(b"BUSY") else "failed")
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/bench/lists.py
+++ b/bench/lists.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import statistics
-import sys
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -13,7 +12,7 @@
 from typing import Any
 
 from bench.errors import BenchError
-from bench.process import END_S, ROOT, Process
+from bench.process import END_S, Process, start_program
 from bench.standins import HOST, Address
 from roster.follow import BACKOFF_S, MOST_BACKOFF_S
 from roster.registration import Registration
@@ -83,24 +82,14 @@
 @contextlib.asynccontextmanager
 async def service(folder: Path, port: int) -> AsyncIterator[Process]:
     """A list service as a process of its own; it ends with the block."""
-    log_path = folder / "log.txt"
-    with log_path.open("ab") as log:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "roster", "--data", str(folder / "list"), "--listen", f"{HOST}:{port}",
-            cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=log)
+    process, _ = await start_program(
+        ("-m", "roster", "--data", str(folder / "list"), "--listen", f"{HOST}:{port}"), folder / "log.txt")
     try:
-        line = (await asyncio.wait_for(process.stdout.readline(), WAIT_S)).decode()
-        if not line:
-            raise BenchError(f"the list service does not start: {log_path.read_text().strip()[-200:]}")
-        yield Process(process, log_path, (HOST, int(line.rpartition(":")[2])))
+        yield process
     finally:
-        if process.returncode is None:
-            process.terminate()
-            try:
-                await asyncio.wait_for(process.wait(), END_S)
-            except TimeoutError:
-                process.kill()
-                await process.wait()
+        await process.end()
+        process.kill()
+        await process.process.wait()
 
 
 async def play(watchers: int, instances: int, changes: int, seed: int) -> Figures:
--- a/bench/process.py
+++ b/bench/process.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import contextlib
+import ctypes
 import io
 import json
 import os
 import signal
 import socket
 import subprocess
+import sys
 import tarfile
 import tomllib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -27,6 +29,7 @@
 LOOK_S = 0.02  # between looks at whether it is ready
 ROOT = Path(__file__).resolve().parent.parent
 KIB = 1024
+PR_SET_PDEATHSIG = 1  # of prctl(2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,11 +90,11 @@
         yield prepare(root)
 
 
-def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM, host: str = HOST) -> int:
     """One that nobody has at the moment."""
     try:
         with socket.socket(socket.AF_INET, kind) as found:
-            found.bind((HOST, 0))
+            found.bind((host, 0))
             return found.getsockname()[1]
     except OSError as error:
         raise BenchError(f"no port is free: {error.strerror}") from error
@@ -186,23 +189,57 @@
             os.killpg(self.process.pid, signal.SIGKILL)
 
 
-@contextlib.asynccontextmanager
-async def front_door(tree: Tree, config: dict[str, Any], folder: Path) -> AsyncIterator[Process]:
-    """A front door that serves; it is gone at the end, whatever happens in between."""
-    file, log = folder / "config.json", folder / "log"
+def die_with_parent() -> None:
+    """In a child before it runs its program: it is killed when its parent dies, however that dies (Linux)."""
+    ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+async def start_door(tree: Tree, config: dict[str, Any], folder: Path, log: Path | None = None) -> Process:
+    """A front door, started by the deploy file; it need not serve yet. Its log is added to what is there."""
+    file, log = folder / "config.json", log or folder / "log"
     file.write_text(json.dumps(config))
     env = {name: text for name, text in os.environ.items() if not name.startswith("PROXY_")}
     host, _, port = config["listen"].rpartition(":")
-    with log.open("wb") as output:
+    with log.open("ab") as output:
         process = await asyncio.create_subprocess_shell(
             tree.run, cwd=tree.root, env={**env, "PROXY_CONFIG": str(file)}, stdin=asyncio.subprocess.DEVNULL,
             stdout=output, stderr=output, start_new_session=True,  # a group of its own, ended as one
+            preexec_fn=die_with_parent,
         )
-    found = Process(process, log, (host, int(port)))
+    return Process(process, log, (host, int(port)))
+
+
+@contextlib.asynccontextmanager
+async def front_door(tree: Tree, config: dict[str, Any], folder: Path) -> AsyncIterator[Process]:
+    """A front door that serves; it is gone at the end, whatever happens in between."""
+    found = await start_door(tree, config, folder)
     try:
         await found.ready()
         yield found
         await found.end()
     finally:
+        found.kill()
+        await found.process.wait()
+
+
+async def start_program(words: Sequence[str], log: Path, **more: Any) -> tuple[Process, str]:  # noqa: ANN401
+    """A Python program of the project's own that prints one line once it serves, with its address at the end
+    where it has one: the process and that line. One that ends before is a BenchError."""
+    with log.open("ab") as errors:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=errors,
+            start_new_session=True, preexec_fn=die_with_parent, **more)
+    found = Process(process, log, (HOST, 0))
+    try:
+        line = (await asyncio.wait_for(process.stdout.readline(), READY_S)).decode().strip()
+        if not line:
+            raise BenchError(f"'{' '.join(words[:2])}' does not start: {found.last_line()}")
+        _, _, port = line.rpartition(":")
+        found.address = HOST, int(port) if port.isdecimal() else 0
+        return found, line
+    except BaseException as error:
         found.kill()
         await process.wait()
+        if isinstance(error, TimeoutError):
+            raise BenchError(f"'{' '.join(words[:2])}' does not start in {READY_S:g} s") from None
+        raise
--- a/model/__main__.py
+++ b/model/__main__.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import os
-import signal
 import sys
 import tempfile
 import time
@@ -15,37 +14,16 @@
 import msgspec
 
 from model import day as days
+from model.commands import HELP, Group, end_on_signals
 from model.errors import ModelError
 from model.experiment import BROKEN, ROOT, Play, Runner, revision, set_constant, table
 from model.scenario import dump, known, load
 
-BAD_INPUT, STOPPED = 2, 130  # exit codes; 1 is a fault's
 
-
-class Group(click.Group):
-    """Bad input is one plain line and exit code 2; Ctrl-C says so and leaves no process."""
-
-    def main(self, *args: object, **kwargs: object) -> object:  # type: ignore[override]
-        try:
-            return super().main(*args, **{**kwargs, "standalone_mode": False})
-        except click.ClickException as error:
-            click.echo(f"model: {error.format_message()}", err=True)
-        except ModelError as error:
-            click.echo(f"model: {error}", err=True)
-        except (click.Abort, KeyboardInterrupt):
-            click.echo("model: stopped", err=True)
-            sys.exit(STOPPED)
-        except BrokenPipeError:
-            os.dup2(os.open(os.devnull, os.O_WRONLY), 1)  # its reader has gone: nothing is left to say
-            sys.exit(0)
-        sys.exit(BAD_INPUT)
-
-
-@click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
+@click.group("model", cls=Group, context_settings=HELP)
 def cli() -> None:
     """The fleet in simulated time: one run, pairs against a revision, a constant at several values."""
-    for number in (signal.SIGINT, signal.SIGTERM):  # also where whoever started this had SIGINT ignored
-        signal.signal(number, signal.default_int_handler)
+    end_on_signals()
 
 
 SEED = click.option("--seed", type=click.IntRange(0, 2**53), default=1, show_default=True,
@@ -55,6 +33,8 @@
 SEEDS = click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True,
                      help="Pairs: as many seeds, from --first on.")
 FIRST = click.option("--first", type=click.IntRange(0, 2**53), default=1, show_default=True)
+TWIN = click.option("--twin", is_flag=True,
+                    help="Play it without its troubles too, and tell the way back to full service.")
 OUT = click.option("--out", type=click.Path(dir_okay=False, path_type=Path),
                    help="Keep each run's total as it ends, a JSON line each; what is there already is kept.")
 
@@ -64,15 +44,19 @@
 @SEED
 @click.option("--total", is_flag=True, help="The last line alone.")
 @click.option("--set", "settings", multiple=True, metavar="NAME=NUMBER", help="A constant of the module.")
+@TWIN
 @click.option("--out", type=click.File("wb"), default="-", help="Where the JSON lines go.")
-def run(scenario: str, seed: int, total: bool, settings: tuple[str, ...], out: BinaryIO) -> None:
+def run(
+    scenario: str, seed: int, total: bool, settings: tuple[str, ...], twin: bool, out: BinaryIO
+) -> None:
     """Play SCENARIO (a name or a .toml file) once; JSON lines. Exit code 3 where a rule was broken."""
     found = load(scenario)
     for setting in settings:
         set_constant(setting)
     started = time.process_time()
     day = days.play(found, seed)
-    for line in [days.line(day.result())] if total else day.lines():
+    way = {"way": day.way(days.play(days.calm(found), seed))} if twin and found.troubles else {}
+    for line in [days.line({**day.result(), **way})] if total else day.lines(**way):
         out.write(line)
     out.flush()
     if sys.stderr.isatty():
@@ -132,14 +116,16 @@
 @SEEDS
 @FIRST
 @JOBS
+@TWIN
 @OUT
 def compare(
-    rev: str, scenarios: tuple[str, ...], seeds: int, first: int, jobs: int, out: Path | None
+    rev: str, scenarios: tuple[str, ...], seeds: int, first: int, jobs: int, twin: bool, out: Path | None
 ) -> None:
     """The decision module of REV against this tree's, on the same scenarios and seeds, in turns."""
     names = [resolve(scenario) for scenario in scenarios]
     with revision(rev) as folder:
-        plays = [Play(side, where, name, seed) for name in names for seed in range(first, first + seeds)
+        plays = [Play(side, where, name, seed, twin=twin)
+                 for name in names for seed in range(first, first + seeds)
                  for side, where in ((rev, folder), ("this tree", ROOT))]
         results = play_all(plays, jobs, out)
     for number, scenario in enumerate(scenarios):
--- a/model/books.py
+++ b/model/books.py
@@ -8,6 +8,8 @@
 
 from collections import Counter, defaultdict
 
+from model.service import Point
+
 MOST_LOGGED, MOST_BROKEN = 200, 100  # lines and broken rules kept; all are counted
 WINDOW_S = 10  # of the worst stretch (the brief)
 WEIGHTS = (0.55, 0.2, 0.25)  # of the whole run, its worst stretch and its worst-served plan (the brief)
@@ -20,6 +22,9 @@
     def __init__(self, classes: tuple[str, ...], plans: tuple[str, ...]) -> None:
         self.classes, self.plans = classes, plans
         self.asks = self.tries = self.attempts = self.handshakes = self.crossed = 0
+        self.opened: Counter[int] = Counter()  # handshakes by second
+        self.points: list[Point] = []  # what was asked inside the quotas
+        self.last_back_us = -1  # when the last killed or ended door was back, from the run's start
         self.offered: dict[tuple[int, int, int], float] = defaultdict(float)  # by second, class and plan
         self.earned: dict[tuple[int, int, int], float] = defaultdict(float)
         self.in_time: Counter[int] = Counter()  # asks by second
@@ -53,6 +58,10 @@
         self.messages[self.second, fate] += 1
         self.peer_bytes += size
 
+    def handshake(self) -> None:
+        self.handshakes += 1
+        self.opened[self.second] += 1
+
     def end_try(self, how: str, cause: str) -> None:
         self.ends[how] += 1
         if how == "refused":
--- a/model/clients.py
+++ b/model/clients.py
@@ -234,8 +234,10 @@
             else:
                 cause = SERVED if ask.ideal else GAINED
         second = (ask.first_us - day.start_us) // S
-        if served is not None and now <= ask.aim_us:
-            day.books.in_time[second] += 1
+        in_time = served is not None and now <= ask.aim_us
+        day.books.in_time[second] += in_time
+        if ask.ideal:
+            day.books.points.append((ask.first_us - day.start_us, ask.worth, in_time))
         day.books.end_ask((second, ask.kind, ask.customer.plan), offered, earned, cause, late_fail)
 
 
--- a/model/day.py
+++ b/model/day.py
@@ -16,11 +16,13 @@
 from model.network import Network
 from model.scenario import Scenario
 from model.servers import ScanServer, Traits
+from model.service import Way, way_back
 from model.streams import Stream
 from model.troubles import Troubles
 
 START_US = 1_000 * S  # when a run begins: a start time of 0 means long ago
 TAIL_S = 1.0  # after the last possible end of a request
+LOAD_KINDS = ("burst", "hot_customers", "one_shots")  # troubles that are a part of the load
 STREAMS = ("servers", "net", "lists", "clients", "demand", "asks", "work", "troubles", "doors")
 NOISE = (0.052, 0.47)  # of one attempt's work against another's for the same request (the site)
 
@@ -172,8 +174,30 @@
             "sums": books.check(), "events": self.clock.calls,
         }
 
-    def lines(self) -> Iterator[bytes]:
-        """The run as JSON lines: what happened in each second, each server, rules broken, and the total."""
+    def way(self, calm: Day) -> dict[str, object]:
+        """The way back from the first trouble, against the same load without troubles."""
+        books, usual = self.books, calm.books
+        at_us = round(min(trouble.at_s for trouble in self.scenario.troubles) * S)
+        length_us = self.end_us - self.start_us
+
+        def back(from_us: int) -> Way:
+            return way_back(books.points, usual.points, from_us, length_us)
+
+        found = back(at_us)
+        return {
+            "full_s": found.full_s, "worst_second": found.worst_second, "lost": found.lost,
+            "full_after_back_s": back(books.last_back_us).full_s if books.last_back_us >= at_us else None,
+            "came_back": books.last_back_us >= at_us, "left_s": (length_us - at_us) / S,
+            "opened": max(books.opened.values(), default=0),
+            "opened_calm": max(usual.opened.values(), default=0),
+            "fallen": sum(server.fallen for server in self.servers.values()),
+            "beyond": books.beyond, "beyond_calm": usual.beyond,
+            "tries_an_ask": books.tries / max(1, books.asks),
+        }
+
+    def lines(self, **more: object) -> Iterator[bytes]:
+        """The run as JSON lines: what happened in each second, each server, rules broken, and the total with
+        what is to be added to it."""
         books = self.books
         last = max((key[0] for key in books.offered), default=0)
         for second in range(last + 1):
@@ -196,13 +220,19 @@
             yield line({"kind": "broken", "at": second, "rule": rule, "where": where})
         for second, door, text in books.logged:
             yield line({"kind": "log", "at": second, "door": door, "text": text})
-        yield line(self.result())
+        yield line({**self.result(), **more})
 
 
 def line(values: dict[str, object]) -> bytes:
     return msgspec.json.encode(values) + b"\n"
 
 
+def calm(scenario: Scenario) -> Scenario:
+    """The same load without what befalls the fleet."""
+    kept = tuple(trouble for trouble in scenario.troubles if trouble.kind in LOAD_KINDS)
+    return msgspec.structs.replace(scenario, troubles=kept)
+
+
 def play(scenario: Scenario, seed: int) -> Day:
     """Play a scenario once."""
     day = Day(scenario, seed)
--- a/model/doors.py
+++ b/model/doors.py
@@ -308,7 +308,7 @@
             if up and server is not None:
                 server.disconnect()  # nobody waits for it any more
             return
-        self.day.books.handshakes += 1
+        self.day.books.handshake()
         if not up or server is None:
             self.outcome(life, state, attempt, i.Result.CONNECT_FAILED)
             return
--- a/model/experiment.py
+++ b/model/experiment.py
@@ -52,6 +52,7 @@
     scenario: str
     seed: int
     settings: tuple[str, ...] = ()
+    twin: bool = False  # also without its troubles, for the way back
 
 
 @dataclass
@@ -67,6 +68,7 @@
         """The total of one run; a play that fails is a ModelError with its last line."""
         words = [sys.executable, "-m", "model", "run", play.scenario, "--seed", str(play.seed), "--total"]
         words += [word for setting in play.settings for word in ("--set", setting)]
+        words += ["--twin"] if play.twin else []
         environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1"}
         with self.lock:
             if self.stopped.is_set():
@@ -164,6 +166,21 @@
         "messages an ask": sent / asks,
         "messages lost": 1 - messages.get("arrived", 0) / sent if sent else 0.0,
         "broken rules": float(sum(total["broken"].values())),
+        **way_figures(total.get("way")),
+    }
+
+
+def way_figures(way: dict[str, object] | None) -> dict[str, float]:
+    """Those of the way back; one that never got to full service counts as having taken all that was left."""
+    if way is None:
+        return {}
+    after = way["full_after_back_s"] if way["full_after_back_s"] is not None else way["left_s"]
+    return {
+        "full service, s": way["full_s"] if way["full_s"] is not None else way["left_s"],
+        **({"after the last door": after} if way["came_back"] else {}),
+        "worst second": way["worst_second"], "worth lost": way["lost"],
+        "opened to calm": way["opened"] / max(1, way["opened_calm"]), "pushed over": float(way["fallen"]),
+        "beyond quota": float(way["beyond"]),
     }
 
 
--- a/model/report.py
+++ b/model/report.py
@@ -14,6 +14,8 @@
 from model.errors import ModelError
 
 MOST_CAUSES = 8  # in one plot; the rest are drawn together
+STYLE = ("body{font-family:sans-serif;max-width:60em;margin:2em auto;padding:0 1em}"
+         "table{border-collapse:collapse}td{border:1px solid #ccc;padding:.2em .6em}img{max-width:100%}")
 MOST_LINES = 1_000_000  # of one run's file: a run of the longest scenario writes some thousand
 
 
@@ -134,10 +136,8 @@
 
 def write(runs: list[Run], out: Path) -> None:
     """The report of these runs, in the order given, as one file that needs no other."""
-    style = ("body{font-family:sans-serif;max-width:60em;margin:2em auto;padding:0 1em}"
-             "table{border-collapse:collapse}td{border:1px solid #ccc;padding:.2em .6em}img{max-width:100%}")
     text = "\n".join(["<!doctype html>", '<html lang="en"><meta charset="utf-8">',
-                      f"<title>Runs of the fleet's model</title><style>{style}</style>",
+                      f"<title>Runs of the fleet's model</title><style>{STYLE}</style>",
                       "<h1>Runs of the fleet's model</h1>", *map(section, runs), "</html>\n"])
     try:
         out.write_text(text)
--- a/model/scenario.py
+++ b/model/scenario.py
@@ -150,7 +150,7 @@
     """What befalls the fleet, from `at_s` on for `for_s`.
 
     `part` is the share of doors or servers struck, `size` the strength (a factor or a share of the usual
-    load), `zone` the hall, where the kind strikes one.
+    load), `zone` the hall, where the kind strikes one. `back_s` is how long killed doors are away.
     """
 
     kind: Kind
@@ -159,6 +159,7 @@
     part: Share = 0.3
     size: Amount = 0.5
     zone: Annotated[int, msgspec.Meta(ge=0, le=15)] = 0
+    back_s: Range = (1.1, 5.6)
 
 
 CLASSES = (
@@ -216,7 +217,7 @@
         if len({part.name for part in parts}) < len(parts):
             raise ModelError(f"{name}: {what} have the same name twice")
     for part in (scenario, scenario.servers, scenario.net, scenario.clients, scenario.demand,
-                 *scenario.classes, *scenario.plans):
+                 *scenario.classes, *scenario.plans, *scenario.troubles):
         for key in part.__struct_fields__:
             value = getattr(part, key)
             if not isinstance(value, tuple) or not all(type(one) in (int, float) for one in value):
--- a/model/servers.py
+++ b/model/servers.py
@@ -23,7 +23,7 @@
 class Work:
     """A request at a scan server; `ended` is called once, at the server's side of the network."""
 
-    __slots__ = ("ended", "expires_us", "state", "work_us")
+    __slots__ = ("ended", "expires_us", "served", "state", "work_us")  # served: whose it is, to its owner
 
     def __init__(self, work_us: float, expires_us: int, ended: Ended) -> None:
         """`work_us` is in microseconds of one core; at `expires_us` its front door stops waiting."""
--- a/model/troubles.py
+++ b/model/troubles.py
@@ -15,7 +15,6 @@
     from model.day import Day
     from model.doors import Door
 
-BACK_S = (1.1, 5.6)  # until a killed front door is back (the site)
 RESTART_S = 0.4  # until a planned restart is back: what a real one takes here
 SETTLE_S = (0.2, 0.4)  # after SIGTERM for which new connections keep coming (the protocol page)
 DRAIN_EXTRA_S, LEAST_DRAIN_S = 0.5, 3.0  # past the longest deadline, as molereach drains
@@ -87,10 +86,10 @@
 
     def kill_doors(self, trouble: Trouble) -> None:
         for door in self.some([door for door in self.day.doors if door.alive], trouble.part):
-            self.kill(door)
+            self.kill(door, trouble.back_s)
 
-    def kill(self, door: Door) -> None:
-        back = self.stream.span(BACK_S)
+    def kill(self, door: Door, back_s: tuple[float, float]) -> None:
+        back = self.stream.span(back_s)
         door.stop()
         notice = self.stream.span(self.day.scenario.clients.notice_s)
         if notice < back:
@@ -102,6 +101,7 @@
         self.day.clients.down.discard(door.number)
         if not door.alive:
             door.start()
+            self.day.books.last_back_us = self.day.clock.now - self.day.start_us
 
     def restart_doors(self, trouble: Trouble) -> None:
         """All of them in turn, a tenth at a time, by SIGTERM."""
@@ -176,7 +176,7 @@
         self.later(trouble.for_s, self.come_back, struck)
         doors = [door for door in self.day.doors if door.zone == trouble.zone and door.alive]
         for door in self.some(doors, trouble.part) if trouble.part else []:
-            self.kill(door)
+            self.kill(door, trouble.back_s)
 
     def come_back(self, struck: list[ScanServer]) -> None:
         for server in struck:
--- /dev/null
+++ b/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Several real processes of the program, with relays and faults between them, and what the histories show."""
--- /dev/null
+++ b/rig/__main__.py
@@ -0,0 +1,185 @@
+"""The rig's commands: run, pairs, compare, soak, report and list."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any, ClassVar
+
+import click
+
+from bench.errors import BenchError
+from bench.process import ROOT, prepare, revision
+from model import day as days
+from model.commands import HELP, Group, end_on_signals
+from model.errors import ModelError
+from model.experiment import BROKEN
+from rig.errors import RigError
+from rig.plan import as_scenario, known, load
+from rig.runs import Run, keep, kept, rows, run, show
+
+MOST_SEED = 2**53
+
+
+class RigGroup(Group):
+    errors: ClassVar[tuple[type[Exception], ...]] = (RigError, ModelError, BenchError)
+
+
+def say(text: str) -> None:
+    """Progress, on standard error."""
+    click.echo(text, err=True)
+
+
+@click.group("rig", cls=RigGroup, context_settings=HELP)
+def cli() -> None:
+    """Several real processes on loopback, relays and faults between them, and checked histories."""
+    end_on_signals()
+
+
+SEED = click.option("--seed", type=click.IntRange(0, MOST_SEED), default=1, show_default=True,
+                    help="Of load and faults; real processes are not the same twice.")
+SEEDS = click.option("--seeds", type=click.IntRange(1, 100), default=3, show_default=True,
+                     help="As many, from --first on.")
+FIRST = click.option("--first", type=click.IntRange(0, MOST_SEED), default=1, show_default=True)
+OUT = click.option("--out", type=click.Path(file_okay=False, path_type=Path),
+                   help="A folder to keep plan, histories and figures in.")
+
+
+def told(found: Run) -> None:
+    """A run's violations, on standard output."""
+    for one in found.violations:
+        click.echo(f"broken: {one.rule}: {one.text}")
+
+
+def violated(runs: list[Run]) -> None:
+    if any(found.violations for found in runs):
+        sys.exit(BROKEN)
+
+
+@cli.command("run")
+@click.argument("plan")
+@SEED
+@click.option("--twin/--no-twin", default=True, show_default=True,
+              help="Play the same load without faults first; without it the way back is not told.")
+@OUT
+def run_(plan: str, seed: int, twin: bool, out: Path | None) -> None:
+    """Play PLAN (a name or a .toml file) with real processes. Exit code 3 where a rule was broken."""
+    found = run(load(plan), seed, prepare(ROOT), say, twin)
+    if out is not None:
+        keep(found, out)
+    click.echo(show(rows([("value", [found.figures.as_json()])])))
+    told(found)
+    violated([found])
+
+
+@cli.command()
+@click.argument("rev")
+@click.argument("plan")
+@SEEDS
+@FIRST
+@OUT
+def pairs(rev: str, plan: str, seeds: int, first: int, out: Path | None) -> None:
+    """The front doors of REV against this tree's, on the same plan and seeds, in turns; medians."""
+    wanted = load(plan)
+    sides: dict[str, list[Run]] = {rev: [], "this tree": []}
+    with revision(rev) as theirs:
+        trees = {rev: theirs, "this tree": prepare(ROOT)}
+        for number in range(seeds):
+            order = list(trees) if number % 2 else list(reversed(trees))
+            for side in order:
+                found = run(wanted, first + number, trees[side], lambda text: None)
+                sides[side].append(found)
+                say(f"{side}, seed {first + number}: full service {found.figures.full_s}, "
+                    f"{len(found.violations)} broken")
+                if out is not None:
+                    keep(found, out / f"{side.replace(' ', '-')}-{first + number}")
+    click.echo(show(rows([(side, [found.figures.as_json() for found in runs])
+                          for side, runs in sides.items()])))
+    for runs in sides.values():
+        for found in runs:
+            told(found)
+    violated(sides["this tree"])
+
+
+@cli.command()
+@click.argument("plan")
+@SEEDS
+@FIRST
+def compare(plan: str, seeds: int, first: int) -> None:
+    """PLAN with real processes and in the model, on the same seeds: medians of both, side by side."""
+    wanted = load(plan)
+    scenario, missing = as_scenario(wanted)
+    if missing:
+        raise RigError(f"{wanted.name}: the model has no {', nor '.join(dict.fromkeys(missing))}")
+    tree, real, modelled = prepare(ROOT), [], []
+    for seed in range(first, first + seeds):
+        found = run(wanted, seed, tree, say)
+        told(found)
+        real.append(found.figures.as_json())
+        modelled.append(in_model(scenario, seed))
+        say(f"seed {seed}: full service {real[-1]['full_s']}, in the model {modelled[-1]['full_s']}")
+    click.echo(show(rows([("rig", real), ("model", modelled)])))
+
+
+def in_model(scenario: Any, seed: int) -> dict[str, object]:  # noqa: ANN401 - a Scenario
+    """The figures of one play of the model, by the names of the rig's where both have them."""
+    day = days.play(scenario, seed)
+    result = day.result()
+    points = day.books.points
+    offered = sum(worth for _, worth, _ in points) or 1.0
+    found: dict[str, object] = {
+        "served": sum(worth for _, worth, in_time in points if in_time) / offered,
+        "retries": result["tries"] / max(1, result["asks"]) - 1,
+        **{how: result["ends"].get(how, 0) for how in ("refused", "failed", "gone")},
+    }
+    if scenario.troubles:
+        way = day.way(days.play(days.calm(scenario), seed))
+        found |= {"full_s": way["full_s"], "full_after_pong_s": way["full_after_back_s"],
+                  "worst_second": way["worst_second"], "lost": way["lost"], "connections": way["opened"],
+                  "connections_calm": way["opened_calm"], "pushed_over": way["fallen"]}
+    return found
+
+
+@cli.command()
+@click.option("--minutes", type=click.FloatRange(0.01, 1440), default=10.0, show_default=True)
+@click.option("--count", type=click.IntRange(1, 100_000), help="So many plans instead.")
+@SEED
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("found"),
+              show_default=True, help="Where a plan that breaks a rule is kept.")
+def soak(minutes: float, count: int | None, seed: int, out: Path) -> None:
+    """Play random plans; one that breaks a rule is made small and kept as a .toml file."""
+    from rig.soak import soak as play
+
+    found = play(seed, minutes, prepare(ROOT), out, say, count)
+    click.echo(f"{found.played} plans played, {len(found.kept)} kept")
+    for path in found.kept:
+        click.echo(str(path))
+    if found.kept:
+        sys.exit(BROKEN)
+
+
+@cli.command()
+@click.argument("runs", type=click.Path(exists=True, file_okay=False, path_type=Path), nargs=-1,
+                required=True)
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), default=Path("report.html"),
+              show_default=True)
+def report(runs: tuple[Path, ...], out: Path) -> None:
+    """One HTML file with plots of the runs kept in these folders."""
+    from rig.report import write
+
+    write([(folder.name, kept(folder)) for folder in runs], out)
+    click.echo(f"{out} is written")
+
+
+@cli.command("list")
+def list_() -> None:
+    """The plans that come with the rig."""
+    for name in known():
+        plan = load(name)
+        kinds = ", ".join(dict.fromkeys(fault.kind for fault in plan.faults)) or "no fault"
+        click.echo(f"{name:12} {plan.fleet.doors} doors, {plan.fleet.servers.count} servers, "
+                   f"{plan.fleet.length_s:g} s: {kinds}")
+
+
+if __name__ == "__main__":
+    cli()
--- /dev/null
+++ b/rig/plan.py
@@ -0,0 +1,208 @@
+"""Plans: a fleet, and the faults between and on its processes, read from TOML and checked in full.
+
+`[fleet]` is a scenario of the model's (`model/scenario.py`): doors, servers, halls, customers, classes, plans
+of quota. What befalls it stands in `[[faults]]`, which the model plays too where it has the like. An unknown
+key, a wrong type or a figure out of its range is a RigError of one line that names the key.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+import tomli_w
+
+from model.errors import ModelError
+from model.scenario import Amount, Count, Name, Part, Range, Scenario, Share, Trouble, check, trimmed
+from rig.errors import RigError
+
+# Kinds of process, and of link: between two kinds of process, the one that connects first.
+Who = Literal["doors", "servers", "list", "follower", "clients"]
+Link = Literal["clients-doors", "doors-servers", "doors-doors", "doors-list", "doors-follower",
+               "servers-list", "follower-list"]
+ON_PROCESSES = ("kill", "term", "pause", "full_disk")
+ON_SERVERS = ("bad", "errors_fast", "slow", "replace")
+ON_LINKS = ("cut", "hold", "delay", "lose", "repeat", "reorder", "limit", "break")
+Kind = Literal["kill", "term", "pause", "full_disk", "bad", "errors_fast", "slow", "replace", "burst",
+               "cut", "hold", "delay", "lose", "repeat", "reorder", "limit", "break"]
+MOST_DOORS = 200  # a loopback address for each; the largest fleet of the operators
+MOST_LENGTH_S = 600
+TAIL_S = 4.0  # after the last ask: the longest deadline of the operators' classes, and a drain
+
+
+class Fault(Part):
+    """One fault, from `at_s` on.
+
+    On processes (`on`, a `part` of them or those of `numbers`, of one hall where `zone` says so): `kill`
+    (SIGKILL), `term` (SIGTERM), `pause` (SIGSTOP for `for_s`), `full_disk` for `for_s`. Killed and ended ones
+    are started again after a time from `back_s`, with `state`: what they stored, nothing, an older copy (half
+    of the time up to the fault old), or a damaged one; their clock is then `clock_s` off. `stagger_s` spreads
+    the strikes evenly over that time; `times` strikes the same ones again, each time once they serve.
+    On scan servers: `bad` (a `size` of answers are errors), `errors_fast` (at once), `slow` (`size` times),
+    `replace` (they drain and leave over `for_s`, cold ones come).
+    On links (`link`, a `part` of them, those that leave hall `zone`): `cut` (reset, and refused), `hold`
+    (open and silent), `delay` (`size` ms), `lose` (a share `size` of the datagrams; of TCP's chunks, 200 ms
+    late), `repeat` and `reorder` (of datagrams), `limit` (`size` bytes a second), `break` (a share `size` of
+    chunks is cut in the middle, with the connection); `way` is from the connecting side `there`, from the
+    other `back`.
+    `burst`: all customers ask 1 + `size` times as much.
+    """
+
+    kind: Kind
+    at_s: Amount = 3.0
+    for_s: Amount = 3.0
+    on: Who = "doors"
+    part: Share = 1.0
+    numbers: tuple[Annotated[int, msgspec.Meta(ge=0, le=1999)], ...] = ()
+    zone: Annotated[int, msgspec.Meta(ge=0, le=15)] | None = None
+    back_s: Range = (0.3, 1.0)
+    state: Literal["kept", "none", "old", "damaged"] = "kept"
+    clock_s: Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)] = 0.0
+    stagger_s: Amount = 0.0
+    times: Annotated[int, msgspec.Meta(ge=1, le=20)] = 1
+    link: Link = "doors-servers"
+    way: Literal["both", "there", "back"] = "both"
+    size: Amount = 0.5
+
+
+class Limits(Part):
+    """What the checks allow beyond the rules' own figures; times in milliseconds.
+
+    `drain_ms` is past the grace of the rule on draining servers; `quota_share` of the units sent, and
+    `quota_units` for each customer, may be beyond the quota of a plan that an overrun costs.
+    """
+
+    drain_ms: Amount = 50.0  # the protocol page's, on each time limit
+    answer_ms: Amount = 500.0  # past a request's time (the page on the whole fleet)
+    quota_share: Share = 0.1
+    quota_units: Amount = 2.0
+
+
+class Plan(Part):
+    """A fleet of real processes and what befalls it."""
+
+    name: Name
+    fleet: Scenario
+    faults: tuple[Fault, ...] = ()
+    clients: Annotated[int, msgspec.Meta(ge=1, le=32)] = 1  # processes
+    follower: bool = True  # a second list service, which every other door reads
+    lease_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 3.0
+    state: bool = False  # doors keep a snapshot (`state_dir`)
+    limits: Limits = Limits()
+
+    @property
+    def calm(self) -> Plan:
+        """The same load without a fault."""
+        return msgspec.structs.replace(self, faults=tuple(f for f in self.faults if f.kind == "burst"))
+
+
+def parse(data: bytes, name: str) -> Plan:
+    """A plan from TOML; what is wrong with it is a RigError of one line that begins with `name`."""
+    try:
+        plan = msgspec.toml.decode(data, type=Plan)
+        verify(plan, name)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RigError(f"{name}: {' '.join(str(error).split())}") from error
+    except ModelError as error:
+        raise RigError(str(error)) from error
+    return plan
+
+
+def verify(plan: Plan, name: str) -> None:
+    """What types alone cannot tell."""
+    fleet = plan.fleet
+    check(fleet, name)
+    if fleet.troubles:
+        raise RigError(f"{name}: what befalls the fleet stands in faults, not in fleet.troubles")
+    if fleet.doors > MOST_DOORS or fleet.length_s > MOST_LENGTH_S:
+        raise RigError(f"{name}: at most {MOST_DOORS} doors for {MOST_LENGTH_S} s")
+    counts: dict[str, Count] = {"doors": fleet.doors, "servers": fleet.servers.count, "clients": plan.clients,
+                                "list": 1, "follower": int(plan.follower)}
+    for fault in plan.faults:
+        if fault.at_s > fleet.length_s:
+            raise RigError(f"{name}: {fault.kind} begins after the end")
+        if fault.zone is not None and fault.zone >= fleet.net.zones:
+            raise RigError(f"{name}: {fault.kind} strikes hall {fault.zone} of {fleet.net.zones}")
+        if fault.numbers and max(fault.numbers) >= counts[fault.on]:
+            raise RigError(f"{name}: {fault.kind} strikes {fault.on} {max(fault.numbers)} of "
+                           f"{counts[fault.on]}")
+        if fault.kind in ON_PROCESSES and not counts[fault.on]:
+            raise RigError(f"{name}: {fault.kind} strikes the {fault.on}, and there is none")
+        if fault.kind in ("lose", "repeat", "reorder", "break", "bad", "errors_fast") and fault.size > 1:
+            raise RigError(f"{name}: the size of {fault.kind} is a share, not {fault.size:g}")
+        if fault.kind in ("repeat", "reorder") and fault.link != "doors-doors":
+            raise RigError(f"{name}: {fault.kind} is for datagrams, on the link doors-doors")
+        if fault.clock_s and fault.on not in ("doors", "servers"):
+            raise RigError(f"{name}: clock_s is for doors and servers, not for the {fault.on}")
+        if fault.back_s[0] > fault.back_s[1]:
+            raise RigError(f"{name}: back_s goes from {fault.back_s[0]:g} down to {fault.back_s[1]:g}")
+
+
+def known() -> list[str]:
+    """The names of the plans that come with the rig."""
+    return sorted(path.stem for path in PLANS.glob("*.toml"))
+
+
+def load(name: str) -> Plan:
+    """A plan by its name, or from a file."""
+    path = Path(name) if name.endswith(".toml") else PLANS / f"{name}.toml"
+    if not name.endswith(".toml") and name not in known():
+        raise RigError(f"there is no plan '{name}' (a .toml file, or one of {', '.join(known())})")
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise RigError(f"{name}: {error.strerror}") from error
+    return parse(data, name)
+
+
+def dump(plan: Plan) -> str:
+    """The plan as TOML, without what is left at its default; `parse` gives the same one back."""
+    values = msgspec.to_builtins(plan)
+    usual = msgspec.to_builtins(Plan(name=plan.name, fleet=Scenario(name=plan.fleet.name)))
+    kept = trimmed(values, usual) | {"name": plan.name}
+    kept["fleet"] = kept.get("fleet", {}) | {"name": plan.fleet.name}
+    plain = msgspec.to_builtins(Fault(kind="kill"))
+    kept["faults"] = [{"kind": one["kind"]} | trimmed(one, plain) for one in values["faults"]]
+    return tomli_w.dumps(kept)
+
+
+def as_scenario(plan: Plan) -> tuple[Scenario, list[str]]:
+    """The plan as the model plays it, and the faults that the model has not."""
+    troubles, missing = [], []
+    for fault in plan.faults:
+        trouble = as_trouble(fault, plan.fleet)
+        if trouble is None:
+            missing.append(fault.kind if fault.kind not in ON_LINKS else f"{fault.kind} of {fault.link}")
+        else:
+            troubles.append(trouble)
+    return msgspec.structs.replace(plan.fleet, troubles=tuple(troubles)), missing
+
+
+def as_trouble(fault: Fault, fleet: Scenario) -> Trouble | None:
+    """One fault as a trouble of the model's; None where it has none that means the same."""
+    common = {"at_s": fault.at_s, "for_s": fault.for_s, "part": fault.part, "size": fault.size}
+    everywhere = fault.zone is None and not fault.numbers and fault.way == "both" and fault.times == 1
+    on = fault.kind, fault.on if fault.kind in ON_PROCESSES else fault.link if fault.kind in ON_LINKS else ""
+    if on == ("cut", "doors-servers") and fault.zone is not None and fault.part == 1:
+        return Trouble(kind="zone_cut", zone=fault.zone, **common)
+    if not everywhere:
+        return None
+    if on == ("kill", "doors") and not fault.stagger_s:
+        return Trouble(kind="kill_doors", back_s=fault.back_s, **common)
+    if on == ("term", "doors") and fault.part == 1:
+        return Trouble(kind="restart_doors", **common | {"for_s": fault.stagger_s})
+    if on == ("hold", "doors-servers"):
+        return Trouble(kind="silent", **common)
+    if on == ("lose", "doors-doors") and fault.part == 1:
+        return Trouble(kind="messages_lost", **common)
+    if on == ("delay", "doors-list") and not fault.part < 1:
+        return Trouble(kind="lists_late", **common | {"size": fault.size / 1000})
+    if fault.kind in ("bad", "errors_fast", "slow", "burst"):
+        return Trouble(kind=fault.kind, **common)
+    if fault.kind == "replace":
+        return Trouble(kind="release", **common)
+    return None
+
+
+PLANS = Path(__file__).resolve().parent / "plans"
