Tell peers when a front door started, and do not spend a burst again after a restart

Need: a restarted front door took every customer's store for full, and a home that had lost its memory answered from nothing. fennelwinch/quota.py: Customer.__init__ sets part and level to the burst whatever came before; rules.py: on_peer lets a home's answer replace what its set knew.

Words whose set is of none tell of their sender: a start mark and for how long it has been asked. They go along while a front door is young, and to peers with a new mark; a revision that does not know them passes them over. One that is asked for 2 s less than a peer has restarted: customers it has had no word of have but what can have come since. A restarted home takes over the level of who was there before; a younger home's answer raises nothing. On the way back, advice to come soon is spread (all of it, 0.5 to 1.5 times).

One test of advice now asks long after the start, one of grants passes over words on a start.

--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -6,6 +6,7 @@
 from fennelwinch import interface as i
 from fennelwinch.base import NEVER, TICK_US, Job, S
 from fennelwinch.cap import Cap
+from fennelwinch.starts import Starts
 
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 # The wait for word from home, its part of the aim, and how often it is asked; how long a word holds.
@@ -22,8 +23,8 @@
 class Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    __slots__ = ("at", "ceiling", "ceiling_home", "ceiling_part", "grants", "heard_us", "home", "key",
-                 "level", "others", "out", "own", "part", "plan", "size", "spent", "untold")
+    __slots__ = ("at", "blind", "ceiling", "ceiling_home", "ceiling_part", "grants", "heard_us", "home",
+                 "key", "level", "others", "out", "own", "part", "plan", "size", "spent", "untold")
 
     def __init__(
         self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
@@ -40,8 +41,15 @@
         self.ceiling_home = CEILING_HOME if shared and self.home == set_.me else 0.0
         self.grants = ceiling * self.ceiling_home
         self.heard_us, self.out = -NEVER, 0
+        self.blind = False  # what was spent before a restart is not known here
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
 
+    def forget(self, since: int) -> None:
+        """What was spent before a restart at `since` is not known: there is but what can have come since."""
+        came = min(self.plan.burst, self.plan.rate * (self.at - since) / S)
+        self.part, self.level = min(self.part, came / self.size), min(self.level, came)
+        self.blind = True
+
     def refill(self, now: int) -> "Customer":
         """Refill the parts. Others' demand and the level stay as told while that is fresh, as others go on
         asking; after that, as when the home has gone, they are what may be by now."""
@@ -96,6 +104,7 @@
         self.unanswered, self.asked_us = {}, {}  # by peer: the first ask without a word since; the last ask
         self.waits, self.words, self.told_us = [], {}, {}  # who waits for word; peers' words, when they left
         self.wanted = 0  # requests let through by their quotas in this period
+        self.starts = Starts(self.random)
 
     def forget_customers(self) -> None:
         """One whose stores are full again is as good as new; those that came only once would never end."""
@@ -111,6 +120,8 @@
         known = self.customers.pop(key, None)
         if known is None:
             known = Customer(self.set.plans[key[1]], key, self.set, self.now, self.since_us)
+            if self.starts.restarted:
+                known.forget(self.starts.first_us)
             if self.sets.setdefault(key[:2], key) != key:  # a name of another set must not open a fresh burst
                 known.part = known.level = known.ceiling = 0.0
         self.customers[key] = known
@@ -203,7 +214,8 @@
         for peer in [peer for peer in self.words if self.now - self.told_us.get(peer, -S) >= space]:
             self.told_us[peer] = self.now
             self.fleet.close(self.now, ((name, len(known.out)) for name, known in self.servers.items()))
-            self.actions.append(i.Tell(peer, tuple(self.words.pop(peer)), self.fleet.news_for(peer)))
+            words = (*self.starts.told_to(peer, self.now), *self.words.pop(peer))
+            self.actions.append(i.Tell(peer, words, self.fleet.news_for(peer)))
 
 
 def full_again_us(plan: i.Plan) -> int:
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -12,7 +12,7 @@
 from fennelwinch.cap import FAIR_N, MOST_PERIODS
 from fennelwinch.choice import FEW_GATEWAYS, SMOOTH, Backend
 from fennelwinch.patience import Patience
-from fennelwinch.quota import Quota
+from fennelwinch.quota import Customer, Quota
 
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
 RATE_SMOOTH = 0.3  # weight of a period's sends in a running mean
@@ -20,6 +20,9 @@
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 # When one that the cap keeps out should come again, as a part of its aim: soon enough to be served in time.
 SOON_PART = 5
+# The part of that time over which clients are spread on the way back from restarts. Those told to come as
+# late as they will are not: sooner is only more tries (G -0.005 [-0.009, -0.001] in the model).
+SPREAD = 1.0
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
 # Results after which the connection is not used again.
@@ -71,6 +74,7 @@
 
     def on_request(self, req: i.Request) -> None:
         key = (zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
+        self.starts.asked(self.now)
         customer = self.customer(key)
         rule = self.set.classes[req.class_index]
         gone = self.gone_us(req)
@@ -159,15 +163,21 @@
         if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
             soon = job.rule.aim_us // SOON_PART
             useful = self.now + soon + self.mean_us[job.req.class_index] < job.aim_us
+            if useful and self.starts.on_way_back(self.now):  # refused together, they must not come together
+                soon = round(soon * (1 + SPREAD * (self.random.random() - 0.5)))
             self.end(job, soon if useful else self.set.max_retry_after_us)
         return job.over
 
     def on_peer(self, message: i.PeerMessage) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers."""
+        self.starts.asked(self.now)
         self.unanswered.pop(message.sender, None)
         if message.digest and self.fleet.is_new(message.sender, message.digest, self.now):
             self.hear(message.digest)
         for word in message.words:
+            if not word.set_size:
+                self.on_start(message.sender, word)
+                continue
             key = (word.customer, word.plan_index, word.set_first, word.set_size)
             in_set = (self.set.me - word.set_first) % self.set.gateways < word.set_size
             known = word.plan_index < len(self.set.plans) and word.set_first < self.set.gateways
@@ -175,12 +185,14 @@
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
-                customer.heard_us, customer.level = self.now, word.level
+                # A home that has lost its memory knows less than what it told before.
+                kept = customer.level if self.starts.is_younger(message.sender) else word.level
+                customer.heard_us, customer.level = self.now, min(kept, word.level)
                 customer.others = max(0.0, word.demand - customer.own)
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
                 self.end_waits(customer if word.asked else None, word.spent)
             elif customer.home == self.set.me:
-                customer.level = min(customer.level, word.level) if new else customer.level
+                customer.level = self.level_heard(customer, new, message.sender, word.level)
                 customer.others += word.demand
                 customer.spend(word.spent)
                 chance = customer.chance(word.asked)
@@ -189,6 +201,25 @@
                     self.tell(message.sender, customer, word.asked, granted)
                 customer.spend(word.asked * chance)
 
+    def on_start(self, sender: int, word: i.Word) -> None:
+        """A peer tells of its start: it is told of this one, and where that is the later one, what is held
+        of customers here is not to be trusted."""
+        before = self.starts.restarted
+        if self.starts.heard(sender, word, self.now):
+            self.words.setdefault(sender, [])
+        if self.starts.restarted and not before:
+            for customer in self.customers.values():
+                if customer.heard_us < 0:
+                    customer.refill(self.now).forget(self.starts.first_us)
+
+    def level_heard(self, customer: Customer, new: bool, sender: int, level: float) -> float:
+        """The home's level, by what one of the set holds it to be: the lesser where the home knows nothing,
+        and after a restart what somebody knows who was there before."""
+        if customer.blind and not self.starts.is_blind(sender):
+            customer.blind = False
+            return level
+        return min(customer.level, level) if new else customer.level
+
     def send(self, job: Job, server: Backend) -> None:
         if not (number := len(job.servers)):
             self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
--- /dev/null
+++ b/fennelwinch/starts.py
@@ -0,0 +1,71 @@
+"""Who of a fleet has started when: what a restarted gateway learns, and what its peers learn of it.
+
+A word with a set of none tells of its sender instead of a customer: `customer` is its start mark, drawn anew
+with each start, and `demand` for how many seconds it has been asked. Gateways that start together are asked
+together; one that is asked for a shorter time than a peer has restarted, and knows nothing of what was spent.
+"""
+
+import random
+
+from fennelwinch import interface as i
+from fennelwinch.base import S
+
+YOUNG_US = 2 * S  # for which a gateway tells of its start with every message: several words to each peer
+# By which a peer has to be older: a thin customer's first request may come so much later to one of the set.
+OLDER_US = 2 * S
+BACK_US = 5 * S  # for which a fleet is on its way back after a start: what clients retry for
+MOST_SERVED_S = 600.0  # told at most: what a word holds; far longer than any store takes to fill
+TIMES_TOLD = 2  # to a peer with a new mark: words may be lost
+
+
+class Starts:
+    """The own start, and the last that each peer has told of; one entry a peer."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.mark = chance.getrandbits(32)
+        self.first_us = -1  # when the first request came, or a peer's first word
+        self.peers: dict[int, tuple[int, int]] = {}  # mark, and since when it has been asked
+        self.owed: dict[int, int] = {}  # how often the own start is still to be told
+        self.restarted = False
+        self.back_us = 0  # until when the fleet is on its way back
+
+    def asked(self, now: int) -> None:
+        if self.first_us < 0:
+            self.first_us, self.back_us = now, now + BACK_US
+
+    def told_to(self, peer: int, now: int) -> tuple[i.Word, ...]:
+        """What goes along with a message: the own start while it is young, or the peer is new."""
+        owed = self.owed.pop(peer, 0)
+        if owed > 1:
+            self.owed[peer] = owed - 1
+        if not owed and 0 <= self.first_us <= now - YOUNG_US:
+            return ()
+        served = 0.0 if self.first_us < 0 else min(MOST_SERVED_S, (now - self.first_us) / S)
+        return (i.Word(self.mark, 0, 0, 0, demand=served),)
+
+    def heard(self, sender: int, word: i.Word, now: int) -> bool:
+        """A peer's start: whether it is new here, and so much later than the own that it has to be told."""
+        mark, since = word.customer, now - round(max(0.0, word.demand) * S)
+        known = self.peers.get(sender)
+        self.peers[sender] = mark, since
+        self.restarted = self.restarted or (self.first_us >= 0 and since + OLDER_US < self.first_us)
+        if known and known[0] == mark:
+            return False
+        self.owed[sender] = TIMES_TOLD
+        if younger := self.is_younger(sender):
+            self.back_us = now + BACK_US
+        return younger
+
+    def on_way_back(self, now: int) -> bool:
+        """Whether this gateway, or a peer that it has heard of, has started a short while ago."""
+        return now < self.back_us
+
+    def is_younger(self, peer: int) -> bool:
+        """Whether a peer has restarted since this gateway was first asked."""
+        known = self.peers.get(peer)
+        return known is not None and self.first_us >= 0 and self.first_us + OLDER_US < known[1]
+
+    def is_blind(self, peer: int) -> bool:
+        """Whether a peer is known to have started no earlier than this gateway, and so knows no more."""
+        known = self.peers.get(peer)
+        return known is not None and known[1] + OLDER_US >= self.first_us
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -284,10 +284,15 @@
 HOME = zlib.crc32(b"c") % 20
 
 
+def granted(actions: list[i.Action]) -> list[float]:
+    """What answers grant; words on a start go along."""
+    return [word.spent for action in of(i.Tell, actions) for word in action.words if word.set_size]
+
+
 def test_home_grants_from_its_part_of_the_ceiling() -> None:
     world, word = peer_with_ceiling(HOME)
     actions = world.tell(i.PeerMessage((HOME + 1) % 20, (word,)))
-    assert [told.spent for action in of(i.Tell, actions) for told in action.words] == [1.0]
+    assert granted(actions) == [1.0]
     (customer,) = world.gateway.customers.values()
     assert customer.grants == pytest.approx(0.4 * 20 - 1)
     for _ in range(300):
@@ -295,7 +300,7 @@
     assert customer.grants >= 0
     customer.at, customer.grants = world.now, 0.0
     actions = world.tell(i.PeerMessage((HOME + 2) % 20, (word,)))
-    assert [told.spent for action in of(i.Tell, actions) for told in action.words] == [0.0]
+    assert granted(actions) == [0.0]
 
 
 def test_grant_lets_pass_what_the_own_part_does_not_and_grows_old() -> None:
@@ -547,7 +552,8 @@
 def test_module_size() -> None:
     root = Path(__file__).parent.parent
     policy = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
-    decisions = {"base.py", "cap.py", "choice.py", "fleet.py", "patience.py", "quota.py", "rules.py"}
+    decisions = {"base.py", "cap.py", "choice.py", "fleet.py", "patience.py", "quota.py", "rules.py",
+                 "starts.py"}
     assert set(policy) == {f"fennelwinch/{name}" for name in decisions}
     lines = [line for name in policy for line in (root / name).read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 1200
@@ -789,6 +795,7 @@
 def test_advice_is_short_only_while_an_answer_is_still_of_use() -> None:
     rule = replace(SAFE, aim_us=1500 * MS)
     world = World(with_class(rule, max_retry_after_us=2 * S), ())
+    world.gateway.starts.asked(0)  # long ago: on the way back from a start, advice is spread
     (early,) = of(i.Refuse, world.ask("early", left_us=100 * MS) + world.run(100 * MS))
     assert early.retry_after_us == 2 * S  # its client's time is nearly over
     world.gateway.mean_us = [500.0 * MS]
--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,167 @@
+"""Start marks: what a restarted gateway and its peers learn of the restart, and what they make of it."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.codec import pack_message, unpack_message
+from fennelwinch.starts import BACK_US, MOST_SERVED_S, OLDER_US, TIMES_TOLD, YOUNG_US, Starts
+from tests.helpers import MS, SETTINGS, S, Set, World, of
+
+CUSTOMER = (1, 0, 0, 3)
+
+
+def start(mark: int = 5, served_s: float = 0.0) -> i.Word:
+    return i.Word(mark, 0, 0, 0, demand=served_s)
+
+
+def starts(first_us: int) -> Starts:
+    found = Starts(random.Random(1))
+    found.asked(first_us)
+    return found
+
+
+def test_a_start_is_told_while_young_and_to_peers_that_are_new() -> None:
+    mine = starts(100 * S)
+    assert [word.demand for word in mine.told_to(1, 101 * S)] == [1.0]
+    assert mine.told_to(1, 100 * S + YOUNG_US) == ()
+    mine.heard(1, start(), 110 * S)
+    assert [bool(mine.told_to(1, 110 * S)) for _ in range(TIMES_TOLD + 1)] == [True] * TIMES_TOLD + [False]
+    mine.heard(1, start(), 111 * S)  # the same start once more is nothing new
+    assert mine.told_to(1, 111 * S) == ()
+    assert mine.told_to(2, 10_000 * S) == () and not mine.restarted
+    mine.heard(2, start(6), 10_000 * S)
+    assert mine.told_to(2, 10_000 * S)[0].demand == MOST_SERVED_S
+
+
+@pytest.mark.parametrize("older_us, restarted", [(0, False), (OLDER_US, False), (OLDER_US + S, True)])
+def test_who_is_asked_for_a_shorter_time_than_a_peer_has_restarted(older_us: int, restarted: bool) -> None:
+    mine, now = starts(100 * S), 101 * S
+    mine.heard(1, start(served_s=1.0 + older_us / S), now)
+    assert mine.restarted is restarted
+    theirs = starts(100 * S - older_us)
+    assert theirs.heard(0, start(served_s=1.0), now) is restarted  # and is told at once that it has
+    assert theirs.is_younger(0) is restarted and not theirs.restarted
+    assert theirs.on_way_back(now + BACK_US - 1) is restarted
+
+
+def test_marks_survive_the_wire_and_are_no_words_to_who_knows_them_not() -> None:
+    word = start(0xFFFFFFFF, 12.5)
+    assert unpack_message(pack_message((word, i.Word(1, 0, 0, 2)))[0])[0] == (word, i.Word(1, 0, 0, 2))
+    # A revision that does not know them takes words for sets that have no member, and passes them over.
+    assert word.set_size == 0
+
+
+def ask(world: World, name: str, **values: object) -> list[i.Action]:
+    return world.ask(name, set_size=3, **values)
+
+
+def told(world: World, sender: int, *words: i.Word) -> list[i.Action]:
+    return world.tell(i.PeerMessage(sender, words))
+
+
+def gateway(me: int = 0) -> World:
+    """One of three, which customer c has for its home or not."""
+    return World(replace(SETTINGS, me=me, gateways=3, plans=(i.Plan(rate=10.0, burst=20.0, over_cost=1.0),)))
+
+
+def test_a_restarted_gateway_does_not_spend_a_burst_again() -> None:
+    fresh, restarted = gateway(), gateway()
+    for world in (fresh, restarted):
+        ask(world, "a")
+        world.run(200 * MS)
+    told(restarted, 1, start(served_s=60.0))
+    burst = {name: next(iter(world.gateway.customers.values()))
+             for name, world in (("fresh", fresh), ("restarted", restarted))}
+    assert burst["fresh"].part > 5 and burst["fresh"].level > 18
+    assert burst["restarted"].level <= 10 * 0.2 + 1e-9  # what has come since it was first asked
+    assert burst["restarted"].part <= burst["restarted"].level / 3 + 1e-9
+    ask(restarted, "b", customer="another")
+    assert max(known.level for known in restarted.gateway.customers.values()) <= 10 * 0.2 + 1e-9
+
+
+def test_what_was_told_by_a_home_after_the_start_is_kept() -> None:
+    world = gateway()
+    ask(world, "a")
+    ((key, customer),) = world.gateway.customers.items()
+    home = customer.home if customer.home else 1
+    told(world, home, i.Word(*key, True, demand=3.0, level=15.0))
+    told(world, 2, start(served_s=60.0))
+    assert customer.level == 15.0
+
+
+def test_a_home_that_lost_its_memory_takes_over_what_the_set_knows() -> None:
+    me = next(n for n in range(3) if gateway(n).gateway.customer((7, 0, 0, 3)).home == n)
+    others = [n for n in range(3) if n != me]
+    home = gateway(me)
+    ask(home, "a", customer="another")
+    home.run(100 * MS)
+    told(home, others[0], start(served_s=60.0))
+    key = (7, 0, 0, 3)
+    # One that has restarted too knows no more; one that was there before knows what was left.
+    told(home, others[1], start(8, 0.1), i.Word(*key, demand=1.0, asked=1.0, level=20.0))
+    assert home.gateway.customers[key].level <= 10 * 0.1 + 1e-9
+    told(home, others[0], i.Word(*key, demand=1.0, asked=1.0, level=12.0))
+    assert 10.0 <= home.gateway.customers[key].level <= 12.0
+    told(home, others[0], i.Word(*key, demand=1.0, level=18.0))  # later words change nothing of it
+    assert home.gateway.customers[key].level <= 12.0
+
+
+def test_answers_of_a_home_that_lost_its_memory_raise_nothing() -> None:
+    world = gateway()
+    ask(world, "a")
+    world.run(10 * S)
+    ask(world, "b")
+    ((key, customer),) = world.gateway.customers.items()
+    customer.level = 2.0
+    home = 1
+    told(world, home, start(9, 0.0), i.Word(*key, True, demand=1.0, level=20.0))
+    assert customer.level == 2.0
+    told(world, 2, i.Word(*key, True, demand=1.0, level=19.0))  # one that was there all the time
+    assert customer.level == 19.0
+
+
+def test_a_restarted_gateway_learns_of_it_from_its_first_words() -> None:
+    gateways = Set(3, replace(SETTINGS, plans=(i.Plan(rate=10.0, burst=20.0, over_cost=1.0),)))
+    for number in range(40):
+        gateways.ask(number % 3, f"r{number}")
+        gateways.run(100 * MS)
+    settings = replace(SETTINGS, gateways=3, me=1, seed=99,
+                       plans=(i.Plan(rate=10.0, burst=20.0, over_cost=1.0),))
+    fresh = World(settings)
+    fresh.now = gateways.worlds[1].now
+    gateways.worlds[1] = fresh
+    gateways.ask(1, "first")
+    gateways.run(300 * MS)
+    assert fresh.gateway.starts.restarted
+    assert not any(gateways.worlds[n].gateway.starts.restarted for n in (0, 2))
+
+
+def test_gateways_that_start_together_have_not_restarted_and_say_so_no_longer() -> None:
+    gateways = Set(3)
+    for number in range(60):
+        gateways.ask(number % 3, f"r{number}")
+        gateways.run(100 * MS)
+    assert not any(world.gateway.starts.restarted for world in gateways.worlds)
+    late = [action for world in gateways.worlds for at, action in world.log
+            if isinstance(action, i.Tell) and at > 100 * S + 2 * YOUNG_US and
+            any(not word.set_size for word in action.words)]
+    assert not late
+
+
+def test_refusals_on_the_way_back_are_spread_and_others_are_not() -> None:
+    def waits(world: World, at_us: int) -> list[int]:
+        """With nobody to send to, what is held is refused while an answer can still be in time."""
+        world.run(at_us)
+        for n in range(40):
+            world.ask(f"{at_us}-{n}", customer=f"c{n}")
+        return [action.retry_after_us for action in of(i.Refuse, world.run(2 * S))]
+
+    aim = SETTINGS.classes[0].aim_us
+    world = World(replace(SETTINGS, max_retry_after_us=10 * S), ())
+    back = waits(world, 0)
+    assert len(back) == 40
+    assert len(set(back)) > 20 and all(aim / 10 <= wait <= 3 * aim / 10 for wait in back)
+    assert set(waits(world, BACK_US)) == {aim // 5}
