Keep a front door's state for its next start, and read the list at several addresses

Need: a restarted front door knew nothing, not even a list where discovery was away with it; a door that crashed again and again took load at once each time; with one address of discovery in the configuration, the loss of that service left nothing to turn to, and all front doors came back to it in step (molereach/discovery.py: Source.run doubled a wait without jitter).

discovery may have several addresses: one is watched, the next where it fails; changes from one that lags are passed over, an older whole list is taken after 10 s without a better one; waits have full jitter with the same mean as before; the age of the list is in log and cost line.

--- a/bench/process.py
+++ b/bench/process.py
@@ -39,6 +39,7 @@
     root: Path
     run: str
     tells_costs: bool  # whether SIGUSR1 brings a line; else it would end the process
+    many_lists: bool = True  # whether a front door takes several addresses of discovery
 
 
 def last_line(said: bytes) -> str:
@@ -67,7 +68,8 @@
         raise BenchError(f"the build took more than {BUILD_S:.0f} s") from None
     if done.returncode:
         raise BenchError(f"the build failed: {last_line(done.stderr or done.stdout)}")
-    return Tree(root, run, (root / "molereach" / "costs.py").exists())
+    takes_many = "read_addresses" in (root / "molereach" / "config.py").read_text()
+    return Tree(root, run, (root / "molereach" / "costs.py").exists(), takes_many)
 
 
 @contextlib.contextmanager
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -295,9 +295,50 @@
     latency_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeptCustomer:
+    """A customer's stores as they were when it was last looked at, in units."""
+
+    customer: int
+    plan_index: int
+    set_first: int
+    set_size: int
+    part: float
+    level: float
+    ceiling: float
+    grants: float
+
+
+@dataclass(frozen=True, slots=True)
+class KeptSuspect:
+    """A server that was suspect: for how long it was to be left alone, and its latency over the aim."""
+
+    server: str
+    avoid_us: int
+    backoff_us: int
+    lag: float
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """What a gateway leaves to its successor; times are from its making on."""
+
+    customers: tuple[KeptCustomer, ...] = ()
+    suspects: tuple[KeptSuspect, ...] = ()
+    n_a_second: float | None = None  # none: the cap was lifted
+
+
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """At a start, before any request: what a predecessor left, and how long ago."""
+
+    memory: Memory
+    age_us: int
+
+
 Event = (
     ServerList | Request | StreamStarted | Outcome | ClientGone | Draining | Timer | ProbeResult | PeerMessage
-    | Counted
+    | Counted | Recall
 )
 
 
--- /dev/null
+++ b/fennelwinch/memory.py
@@ -0,0 +1,63 @@
+"""What a gateway can take up again after its process has ended: collected now and then, recalled later.
+
+Each part has a bound on its age; what is past it is not used. Times in a memory are from its making on, as
+nobody's clock goes on over a restart.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fennelwinch import interface as i
+
+if TYPE_CHECKING:
+    from fennelwinch.rules import Gateway
+
+# Bounds on age: N follows load within some OPPUIs; a suspect server is tried again by then.
+CAP_US, HEALTH_US = 5_000_000, 8_000_000
+MOST_CUSTOMERS = 5_000  # the ones seen last: some 100 bytes each
+
+
+def collect(gateway: Gateway) -> i.Memory:
+    """What this gateway knows that would be of use to its successor."""
+    now = gateway.now
+    customers = tuple(
+        i.KeptCustomer(*customer.key, customer.part, customer.level, customer.ceiling, customer.grants)
+        for customer in list(gateway.customers.values())[-MOST_CUSTOMERS:])
+    suspects = tuple(
+        i.KeptSuspect(server.entry.name, max(0, server.avoid_until - now), server.backoff_us, server.lag)
+        for server in gateway.servers.values() if server.on_trial)
+    n_a_second = None if gateway.n_past is None else gateway.n_exact * gateway.second / gateway.cc_us
+    return i.Memory(customers, suspects, n_a_second)
+
+
+def recall(gateway: Gateway, event: i.Recall) -> str:
+    """Take up a memory, as far as each part is young enough: what was taken up, in words.
+
+    What came in since is not credited: others have gone on spending meanwhile. A customer that is not in it
+    had not asked for long; as little is known of it here as after a restart with no memory.
+    """
+    now, memory, age = gateway.now, event.memory, max(0, event.age_us)
+    gateway.starts.restart(now)
+    taken = []
+    if age < gateway.forget_us:
+        for kept in memory.customers:
+            key = (kept.customer, kept.plan_index, kept.set_first, kept.set_size)
+            if not 0 <= kept.plan_index < len(gateway.set.plans) or kept.set_size < 1:
+                continue
+            customer = gateway.customer(key)
+            customer.part = max(0.0, min(customer.plan.burst / customer.size, kept.part))
+            customer.level = min(customer.plan.burst, kept.level)
+            customer.ceiling = min(kept.ceiling, customer.plan.ceiling_burst * customer.ceiling_part)
+            customer.grants = min(kept.grants, customer.plan.ceiling_burst * customer.ceiling_home)
+        taken.append(f"{len(memory.customers)} customers")
+    if age < HEALTH_US:
+        for kept in memory.suspects:
+            if server := gateway.servers.get(kept.server):
+                server.on_trial, server.backoff_us, server.lag = True, kept.backoff_us, kept.lag
+                server.suspect_us, server.avoid_until = now, now + max(0, kept.avoid_us - age)
+        taken.append(f"{len(memory.suspects)} suspect servers")
+    if age < CAP_US and memory.n_a_second is not None:
+        gateway.set_n(memory.n_a_second * gateway.cc_us / gateway.second)
+        taken.append(f"N {memory.n_a_second:.1f} a second")
+    return f"takes up a snapshot of {age / 1e6:.1f} s ago: {', '.join(taken) or 'nothing is young enough'}"
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -11,6 +11,7 @@
 from fennelwinch.base import NEVER, TICK_US, Job, S
 from fennelwinch.cap import FAIR_N, MOST_PERIODS
 from fennelwinch.choice import FEW_GATEWAYS, SMOOTH, Backend
+from fennelwinch.memory import recall
 from fennelwinch.patience import Patience
 from fennelwinch.quota import Customer, Quota
 
@@ -42,7 +43,8 @@
         self.not_again = 0  # further attempts that were not begun in this period, as none was left
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
-                   i.ClientGone: self.on_end, i.StreamStarted: self.on_end, i.Draining: self.on_draining}
+                   i.ClientGone: self.on_end, i.StreamStarted: self.on_end, i.Draining: self.on_draining,
+                   i.Recall: self.on_recall}
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
@@ -94,6 +96,9 @@
             if not job.servers:
                 self.expire(job, NEEDED_HELD)
 
+    def on_recall(self, event: i.Recall) -> None:
+        self.actions.append(i.Log(recall(self, event)))
+
     def gone_us(self, req: i.Request) -> int:
         """How long ago the client first asked, as far as it is known: a retry has that much less of its time.
 
--- a/fennelwinch/starts.py
+++ b/fennelwinch/starts.py
@@ -33,6 +33,11 @@
         if self.first_us < 0:
             self.first_us, self.back_us = now, now + BACK_US
 
+    def restart(self, now: int) -> None:
+        """It is known to have restarted, by what its predecessor left."""
+        self.asked(now)
+        self.restarted = True
+
     def told_to(self, peer: int, now: int) -> tuple[i.Word, ...]:
         """What goes along with a message: the own start while it is young, or the peer is new."""
         owed = self.owed.pop(peer, 0)
--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -1,6 +1,7 @@
 """Start of a front door, its signals and its exit code."""
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
@@ -59,10 +60,26 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    keep = None
+    if config.state_dir:
+        from molereach.keep import Keep  # what is kept nowhere needs not be loaded
+
+        keep = Keep(config)
+        if wait := keep.wait_s():
+            log.warning("%s has started again and again: it waits for %.1f s", config.name, wait)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(stopped.wait(), wait)
+                keep.end(None)
+                log.info("%s ends", config.name)
+                return
+        config = keep.with_known(config)
     door = FrontDoor(config)
     loop.add_signal_handler(signal.SIGHUP, take_over, door)
     loop.add_signal_handler(signal.SIGUSR1, tell_costs, door)
+    if keep:
+        keep.recall(door)
     await door.start()
+    keeping = loop.create_task(keep.run(door)) if keep else None
     # What lives as long as the process need not be looked through by every collection.
     gc.collect()
     gc.freeze()
@@ -70,6 +87,9 @@
     await stopped.wait()
     log.info("%s drains", config.name)
     await door.drain()
+    if keep:
+        keeping.cancel()
+        keep.end(door)
     tell_costs(door)
     log.info("%s ends", config.name)
 
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -21,7 +21,7 @@
 
     name: str
     listen: Address
-    discovery: Address
+    discovery: tuple[Address, ...]  # one is watched at a time, the next where that fails
     settings: i.Settings
     class_numbers: Mapping[str, int]
     plan_numbers: Mapping[str, int]
@@ -36,6 +36,8 @@
     time_stages: bool = False  # tell the processor time by stage, which itself takes some
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
+    state_dir: str = ""  # where a snapshot is kept for the next start; none: nowhere
+    clock_offset_ms: int = 0  # added to the system's time, for tests of clocks that are off
 
 
 def read_address(text: str) -> Address:
@@ -45,6 +47,14 @@
     return host, int(port)
 
 
+def read_addresses(value: object) -> tuple[Address, ...]:
+    """One address, or several: a list of texts, or a text with commas between them."""
+    texts = value.split(",") if isinstance(value, str) else value
+    if not isinstance(texts, list) or not texts or not all(isinstance(text, str) for text in texts):
+        raise ConfigError(f"'{value}' is no address and no list of them")
+    return tuple(dict.fromkeys(read_address(text.strip()) for text in texts))
+
+
 def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
     """Nested JSON as the path=value pairs of the simulator's wire."""
     if isinstance(value, dict):
@@ -77,6 +87,13 @@
     return value
 
 
+def path_of(values: Mapping[str, Any], name: str) -> str:
+    value = values.get(name) or ""
+    if not isinstance(value, str) or "\0" in value:
+        raise ConfigError(f"{name} is not a path")
+    return value
+
+
 def parse(values: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     """The configuration from the file's values, where the environment goes before them."""
     settings = values["settings"]
@@ -86,7 +103,7 @@
     config = Config(
         name=env.get("PROXY_NAME") or values["name"],
         listen=read_address(env.get("PROXY_LISTEN") or values["listen"]),
-        discovery=read_address(env.get("PROXY_DISCOVERY") or values["discovery"]),
+        discovery=read_addresses(env.get("PROXY_DISCOVERY") or values["discovery"]),
         settings=read_settings(int(values["seed"], 16), pairs),
         class_numbers=numbers(settings["categories"]),
         plan_numbers=numbers(settings["plans"]),
@@ -101,6 +118,8 @@
         time_stages=flag(values, "time_stages"),
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=tuple(map(read_address, values.get("peers") or ())),
+        state_dir=path_of(values, "state_dir"),
+        clock_offset_ms=int(values.get("clock_offset_ms") or 0),
     )
     if not config.class_numbers or not config.plan_numbers:
         raise ConfigError("the settings name no class or no plan")
--- a/molereach/costs.py
+++ b/molereach/costs.py
@@ -137,7 +137,10 @@
     return found
 
 
-def report(costs: Costs, held_bytes: Mapping[str, int], descriptors: Mapping[str, int]) -> dict[str, Any]:
+def report(
+    costs: Costs, held_bytes: Mapping[str, int], descriptors: Mapping[str, int],
+    ages_s: Mapping[str, float] | None = None,
+) -> dict[str, Any]:
     """All figures by name. Descriptors that have no owner are the process's own: loop, signals, log."""
     found: dict[str, Any] = {
         "processor_s": time.process_time_ns() / 1e9, **costs.counts(), "bytes": dict(held_bytes),
@@ -147,6 +150,8 @@
     }
     if costs.stages.on:
         found["stages_s"] = costs.stages.report()
+    if ages_s:
+        found["ages_s"] = dict(ages_s)
     owned = dict(descriptors)
     total = open_descriptors()
     if total is not None:
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -1,8 +1,13 @@
-"""The list of backends: a watch on discovery that is kept open, read line by line."""
+"""The list of backends: a watch on discovery that is kept open, read line by line.
+
+Discovery may have several addresses; one is watched at a time, and where that fails the next one. Whatever
+fails, the last good list stays in use, and its age is known.
+"""
 
 import asyncio
 import json
 import logging
+import random
 import time
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
@@ -21,9 +26,14 @@
     "DRAINING": i.ServerState.DRAINING,
     "DELETED": i.ServerState.GONE,
 }
+NAMES = {state: name for name, state in STATES.items()}
 SILENT_S = 5.0  # an empty line comes every 2 s; a watch that is silent for longer is dead
 CONNECT_S = 1.0
-BACKOFF_S, MOST_BACKOFF_S = 0.1, 1.0
+# Between tries, of full jitter: the mean is half of it, and many front doors do not come back together.
+BACKOFF_S, MOST_BACKOFF_S = 0.2, 2.0
+# For which a whole list that is older than ours is not taken from another address: it may be a follower that
+# lags, or a service with an older copy of its data. After that it is all there is.
+STALE_S = 10.0
 MOST_LINE = 1 << 20  # bytes
 MOST_WEIGHT = 1e6
 MOST_TIME_MS = 1e14  # some thousands of years
@@ -43,7 +53,9 @@
     def __init__(self, config: Config) -> None:
         self.zones, self.kinds = config.zone_numbers, config.kind_numbers
         # Fixed once: the module takes a backend whose start time differs for one that has restarted.
-        self.offset_us = (time.monotonic_ns() - time.time_ns()) // 1000
+        self.offset_us = (time.monotonic_ns() - time.time_ns()) // 1000 - config.clock_offset_ms * 1000
+        self.zone_names = {number: name for name, number in self.zones.items()}
+        self.kind_names = {number: name for name, number in self.kinds.items()}
 
     def started_us(self, unix_ms: float) -> int:
         """0 stays 0, for long ago; nothing else becomes 0."""
@@ -68,6 +80,16 @@
             started_us=self.started_us(self.number(entry, "startedAtMs", MOST_TIME_MS)),
         )
 
+    def entry(self, server: i.Server, address: Address) -> dict[str, Any]:
+        """A server in discovery's form, as `server` reads it."""
+        started_ms = (server.started_us - self.offset_us) / 1000 if server.started_us else 0
+        return {
+            "instanceId": server.name, "hostPort": f"{address[0]}:{address[1]}",
+            "zone": self.zone_names.get(server.zone, ""), "machineType": self.kind_names.get(server.kind, ""),
+            "cell": server.cell, "lifecycle": NAMES[server.state], "weight": server.size,
+            "startedAtMs": started_ms,
+        }
+
     def news(self, value: Mapping[str, Any], kind: i.ListKind | None = None) -> News:
         """A list or changes to it; an entry that makes no sense is passed over."""
         kind = kind or (i.ListKind.FULL if value.get("reset") else i.ListKind.CHANGES)
@@ -138,32 +160,72 @@
             self.transport.abort()
 
 
+class StaleError(ValueError):
+    """An address tells an older list than another one has told."""
+
+
 class Source:
-    """One address of discovery: a watch that is kept open, with its news handed on as they come."""
+    """Discovery, at one address of several: a watch that is kept open, its news handed on as they come."""
 
     def __init__(
-        self, address: Address, catalog: Catalog, version: int | None,
-        heard: Callable[["Source", News], None], costs: Costs,
+        self, addresses: tuple[Address, ...], catalog: Catalog, version: int | None,
+        heard: Callable[["Source", News], None], costs: Costs, chance: random.Random,
     ) -> None:
         self.costs = costs
         self.kind = costs.stages.kind(DISCOVERY, WatchConnection, "data_received")
         self.sockets = 0  # held, also while one connects
-        self.address, self.catalog, self.heard = address, catalog, heard
+        self.addresses, self.catalog, self.heard, self.random = addresses, catalog, heard, chance
+        self.at = 0  # which of the addresses is watched
+        self.newest: Address | None = None  # that told the version that we have
+        self.stale_since: float | None = None  # since when there are but older lists
+        self.told_at: float | None = None  # when an address that is not stale was last heard
         self.version = version  # None: the whole list comes first
         self.backoff_s = BACKOFF_S
         self.retiring = self.closed = False
         self.connection: WatchConnection | None = None
 
+    @property
+    def address(self) -> Address:
+        return self.addresses[self.at]
+
     def line(self, line: bytes) -> None:
         """A whole line. Where it fails, the version stays, and the next watch brings it again."""
         if self.closed:  # what is still in the pipe must not undo what a newer source has told
             return
         kind = i.ListKind.FULL if self.version is None else None
         news = self.catalog.news(json.loads(line), kind)
+        if self.is_older(news):
+            return
+        if self.told_at is not None and (age := self.age_s()) > SILENT_S:
+            log.info("the list is heard again after %.0f s", age)
         self.version, self.backoff_s = news.event.version, BACKOFF_S
+        self.newest, self.stale_since, self.told_at = self.address, None, time.monotonic()
         self.costs.list_lines += 1
         self.heard(self, news)
 
+    def is_older(self, news: News) -> bool:
+        """Whether changes are older than what we have, and so no news. A whole list that is, of an address
+        that did not tell ours, is a StaleError for a time: after that it is taken for all there is."""
+        if self.version is None or news.event.version >= self.version or self.newest in (None, self.address):
+            return False
+        if news.event.kind is i.ListKind.CHANGES:
+            return True
+        now = time.monotonic()
+        self.stale_since = now if self.stale_since is None else self.stale_since
+        if now - self.stale_since < STALE_S:
+            raise StaleError(f"version {news.event.version} is older than {self.version}")
+        log.warning("there is but an older list: version %d after %d", news.event.version, self.version)
+        return False
+
+    def age_s(self) -> float:
+        """How long ago an address that is not stale was last heard, an empty line included; below nothing
+        where none was."""
+        if self.told_at is None:
+            return -1.0
+        if self.connection and self.newest == self.address and not self.connection.ended.done():
+            self.told_at = max(self.told_at, self.connection.heard)
+        return time.monotonic() - self.told_at
+
     async def run(self) -> None:
         while not self.closed:
             try:
@@ -172,14 +234,20 @@
                 if self.version is not None:
                     await self.read(f"/catalog/members?watch=1&after={self.version}")
             except (OSError, TimeoutError) as error:
-                log.warning("no watch on discovery: %s", error or "it does not answer")
+                log.warning("no watch on discovery at %s:%d: %s; the list is %s", *self.address,
+                            error or "it does not answer", self.age())
             except Exception:
                 log.exception("the watch on discovery failed")  # without it the list would grow old unseen
             if self.retiring:
                 return
-            await asyncio.sleep(self.backoff_s)
+            self.at = (self.at + 1) % len(self.addresses)
+            await asyncio.sleep(self.random.uniform(0, self.backoff_s))
             self.backoff_s = min(MOST_BACKOFF_S, self.backoff_s * 2)
 
+    def age(self) -> str:
+        age = self.age_s()
+        return f"{age:.1f} s old" if age >= 0 else "the one known at the start"
+
     async def read(self, target: str) -> None:
         """One answer, until it ends or has been silent for too long."""
         host, port = self.address
@@ -200,7 +268,7 @@
             while not connection.ended.done():
                 left = connection.heard + SILENT_S - time.monotonic()
                 if left <= 0:
-                    log.warning("the watch on discovery is silent")
+                    log.warning("the watch on discovery is silent; the list is %s", self.age())
                     return
                 await asyncio.wait([connection.ended], timeout=left)
         finally:
@@ -220,13 +288,15 @@
     """Hands on the news of one source; another address takes over once it has told its whole list."""
 
     def __init__(
-        self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None],
-        spawn: Callable[[Coroutine[None, None, None]], object], costs: Costs | None = None,
+        self, addresses: tuple[Address, ...], catalog: Catalog, version: int,
+        heard: Callable[[News], None], spawn: Callable[[Coroutine[None, None, None]], object],
+        costs: Costs | None = None, chance: random.Random | None = None,
     ) -> None:
         self.catalog, self.heard, self.spawn = catalog, heard, spawn
         self.costs = costs or Costs()
         self.first = asyncio.Event()
-        self.source = Source(address, catalog, version, self.take, self.costs)
+        self.random = chance or random.Random()
+        self.source = Source(addresses, catalog, version, self.take, self.costs, self.random)
         self.next: Source | None = None  # it has told nothing yet
 
     @property
@@ -240,18 +310,22 @@
     def start(self) -> None:
         self.spawn(self.source.run())
 
-    def move(self, address: Address) -> None:
-        """Go to another address. Until that has told its list, the old watch is heard out.
+    def age_s(self) -> float:
+        """How old the list may be; below nothing where none was heard."""
+        return self.source.age_s()
+
+    def move(self, addresses: tuple[Address, ...]) -> None:
+        """Go to other addresses. Until that has told its list, the old watch is heard out.
 
         Its list is asked for whole: what vanished meanwhile may be in no change, and its count of versions
         need not be the old one's.
         """
-        if address == (self.next or self.source).address:
+        if addresses == (self.next or self.source).addresses:
             return
         if self.next:
             self.next.close()
         self.source.retire()
-        self.next = Source(address, self.catalog, None, self.take, self.costs)
+        self.next = Source(addresses, self.catalog, None, self.take, self.costs, self.random)
         self.spawn(self.next.run())
 
     def take(self, source: Source, news: News) -> None:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import random
 import resource
 from collections.abc import Callable
 from dataclasses import fields, replace
@@ -98,7 +99,8 @@
         known = self.read_known()
         version = known.event.version if known else 0
         self.discovery = Discovery(
-            config.discovery, self.catalog, version, self.list_heard, self.backends.spawn, self.costs
+            config.discovery, self.catalog, version, self.list_heard, self.backends.spawn, self.costs,
+            random.Random(config.settings.seed),
         )
         self.carry_out: dict[type, Callable[..., None]] = {
             i.Send: stages.call(costs.BACKENDS, self.send), i.Cancel: self.cancel, i.Refuse: self.refuse,
@@ -121,6 +123,13 @@
         self.list_heard(news)
         return news
 
+    def known_list(self) -> dict[str, object]:
+        """The list of scan servers as it is known now, in discovery's form."""
+        pools = self.backends.pools
+        entries = [self.catalog.entry(server.entry, pools[name].address)
+                   for name, server in self.gateway.servers.items() if name in pools]
+        return {"generation": self.discovery.version or 0, "reset": True, "instances": entries}
+
     async def start(self) -> None:
         """Serve; returns once clients are answered. An address that cannot be had is an OSError."""
         self.backends.sweep()
@@ -141,7 +150,8 @@
                    if getattr(fixed, field.name) != getattr(self.config, field.name)]
         if changed:
             log.warning("a restart is needed for new values of: %s", ", ".join(changed))
-        log.info("takes over the configuration: discovery at %s:%d", *config.discovery)
+        where = ", ".join(f"{host}:{port}" for host, port in config.discovery)
+        log.info("takes over the configuration: discovery at %s", where)
         self.discovery.move(config.discovery)
 
     async def drain(self) -> None:
@@ -174,7 +184,9 @@
             "backends": self.backends.count(), "discovery": self.discovery.sockets,
             "peers": int(self.peers.transport is not None),
         }
-        return costs.line(costs.report(self.costs, held, descriptors))
+        age = self.discovery.age_s()
+        ages = {"list": round(age, 1)} if age >= 0 else {}
+        return costs.line(costs.report(self.costs, held, descriptors, ages))
 
     # --- events ---
 
--- a/rig/checks.py
+++ b/rig/checks.py
@@ -14,6 +14,7 @@
 
 from model.clock import MS, Clock, S
 from model.ledger import Account
+from molereach.keep import MOST_AGE_S
 from rig.history import Record
 from rig.plan import ON_LINKS, Plan
 from rig.world import World
@@ -23,7 +24,6 @@
 SWEEP_US = S  # for which a fault's traces are still met after its end: resets, late closes
 # What a door says of state that it takes up, with its age, and of the list that it goes by.
 TAKEN_UP = re.compile(r"takes up a snapshot of (\d+(?:\.\d+)?) s ago")
-MOST_STATE_S = 30.0  # of a snapshot that is used (molereach/keep.py; docs/recovery.md)
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,7 +240,7 @@
     """No door goes by a snapshot that is older than its bound."""
     return [Violation("stale state", record["at"], f"door {record['door']} took up state of {age} s ago")
             for record in seen.by["door"] for age in TAKEN_UP.findall(record["text"])
-            if float(age) > MOST_STATE_S]
+            if float(age) > MOST_AGE_S]
 
 
 def processes(seen: Seen) -> list[Violation]:
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -237,11 +237,16 @@
 
     async def start_front_door(self, member: Member) -> Process:
         number = member.number
-        follows = self.plan.follower and number % 2
-        source, link = (("follower-0", "doors-follower") if follows else ("list-0", "doors-list"))
-        relay = self.relay(link, member.name, source, self.members[source].process.address)
+        sources = [("list-0", "doors-list")]
+        if self.plan.follower:  # every other door asks it first
+            sources.insert(1 - number % 2, ("follower-0", "doors-follower"))
+        if not self.tree.many_lists:
+            del sources[1:]
+        relays = [self.relay(link, member.name, source, self.members[source].process.address)
+                  for source, link in sources]
         config = {
-            "name": member.name, "listen": text(self.listens[number]), "discovery": text(relay.address),
+            "name": member.name, "listen": text(self.listens[number]),
+            "discovery": ",".join(text(relay.address) for relay in relays),
             "seed": f"{self.random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
             "peer_listen": text(self.peer_listens[number]), "known": {},
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -27,7 +27,7 @@
     max_retry_after_us=750_000, may_cancel=True, may_tell=True, peer_messages_per_s=100.0,
 )
 CONFIG = Config(
-    name="n0", listen=(HOST, 0), discovery=(HOST, 1), settings=SETTINGS,
+    name="n0", listen=(HOST, 0), discovery=((HOST, 1),), settings=SETTINGS,
     class_numbers={"read": 0, "book": 1, "settle": 2}, plan_numbers={"team": 0},
     zone_numbers={"a": 0, "b": 1}, kind_numbers={"m2": 0}, conn_idle_us=30_000_000,
     connect_timeout_us=250_000, max_open=100, sockets=256, memory_mb=64, known={},
@@ -185,7 +185,7 @@
         writer.write(HEAD + chunk(listed))
         await asyncio.Event().wait()
 
-    door = FrontDoor(replace(CONFIG, discovery=await Watch(script).start(), **changes))
+    door = FrontDoor(replace(CONFIG, discovery=(await Watch(script).start(),), **changes))
     await door.start()
     try:
         yield door, door.address
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import random
 import socket
 import time
 from dataclasses import replace
@@ -19,13 +20,20 @@
 AT = (HOST, 6379)
 
 
+class Longest(random.Random):
+    """Draws the longest wait."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return b
+
+
 async def news_of(watch: Watch, count: int, version: int = 0) -> list[News]:
     """The first news that a watch brings."""
     heard: asyncio.Queue[News] = asyncio.Queue()
     tasks = []
     found = Discovery(
-        await watch.start(), Catalog(CONFIG), version, heard.put_nowait,
-        lambda job: tasks.append(asyncio.create_task(job)),
+        (await watch.start(),), Catalog(CONFIG), version, heard.put_nowait,
+        lambda job: tasks.append(asyncio.create_task(job)), chance=Longest(),
     )
     found.start()
     try:
@@ -114,7 +122,7 @@
 def test_known_list_serves_while_discovery_is_silent() -> None:
     async def job() -> None:
         known = {"generation": 3, "reset": True, "instances": [entry("s1", AT)]}
-        door = FrontDoor(replace(CONFIG, known=known, discovery=await Watch(script()).start()))
+        door = FrontDoor(replace(CONFIG, known=known, discovery=(await Watch(script()).start(),)))
         heard: list[i.Event] = []
         door.gateway.handle = lambda now, event: heard.append(event) or []
         await door.start()
@@ -152,12 +160,12 @@
 class Moved:
     """A front door's discovery that is moved from one address to others."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, *addresses: tuple[str, int]) -> None:
         self.heard: asyncio.Queue[News] = asyncio.Queue()
         self.tasks: list[asyncio.Task[None]] = []
         self.discovery = Discovery(
-            address, Catalog(CONFIG), 3, self.heard.put_nowait,
-            lambda job: self.tasks.append(asyncio.create_task(job)),
+            addresses, Catalog(CONFIG), 3, self.heard.put_nowait,
+            lambda job: self.tasks.append(asyncio.create_task(job)), chance=random.Random(1),
         )
         self.discovery.start()
 
@@ -186,7 +194,7 @@
         new = Watch(listing("s2", version=2), script(HEAD + chunk(catalog(3, [], reset=False))))
         moved = Moved(await old.start())
         assert await moved.names() == (i.ListKind.FULL, ["s1"])
-        moved.discovery.move(await new.start())
+        moved.discovery.move((await new.start(),))
         assert await moved.names() == (i.ListKind.FULL, ["s2"])
         late.set()
         assert await moved.names() == (i.ListKind.CHANGES, [])
@@ -216,8 +224,8 @@
         last = Watch(slow, script(HEAD))
         moved = Moved(await Watch(old_watch).start())
         assert (await moved.names())[1] == ["s1"]
-        moved.discovery.move(await never.start())
-        moved.discovery.move(await last.start())  # twice, as reloads may come in a row
+        moved.discovery.move((await never.start(),))
+        moved.discovery.move((await last.start(),))  # twice, as reloads may come in a row
         moves.set()
         assert (await moved.names())[1] == ["s2"]
         speak.set()
@@ -226,3 +234,132 @@
         moved.discovery.source.close()
 
     run(job())
+
+
+def always(*pieces: bytes) -> object:
+    return script(HEAD, *(chunk(piece) for piece in pieces))
+
+
+async def versions(moved: Moved, count: int) -> list[int]:
+    return [(await moved.heard.get()).event.version for _ in range(count)]
+
+
+def test_another_address_is_watched_where_one_fails() -> None:
+    async def job() -> None:
+        ends = Watch(script(HEAD + chunk(catalog(5, [entry("s1", AT)])), stay=False))
+        stays = Watch(always(catalog(6, [entry("s2", AT)], reset=False)))
+        moved = Moved(refusing_address(), await ends.start(), await stays.start())
+        assert await versions(moved, 2) == [5, 6]
+        assert stays.targets == ["/catalog/members?watch=1&after=5"]
+        moved.discovery.source.close()
+
+    run(job())
+
+
+def test_changes_of_an_address_that_lags_are_passed_over() -> None:
+    async def job() -> None:
+        ends = Watch(script(HEAD + chunk(catalog(9, [entry("s1", AT)])), stay=False))
+        lags = Watch(always(catalog(7, [entry("s1", AT, "DRAINING")], reset=False),
+                            catalog(10, [entry("s2", AT)], reset=False)))
+        moved = Moved(await ends.start(), await lags.start())
+        assert await versions(moved, 2) == [9, 10]
+        moved.discovery.source.close()
+
+    run(job())
+
+
+def test_an_older_list_is_taken_only_when_it_is_all_there_is(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(discovery, "STALE_S", 0.4)
+    monkeypatch.setattr(discovery, "MOST_BACKOFF_S", 0.1)
+
+    async def job() -> None:
+        ends = Watch(script(HEAD + chunk(catalog(9, [entry("s1", AT)])), stay=False),
+                     script(HEAD, stay=False))
+        older = Watch(always(catalog(4, [entry("s2", AT)])))
+        moved = Moved(await ends.start(), await older.start())
+        began = time.monotonic()
+        assert await versions(moved, 2) == [9, 4]
+        assert time.monotonic() - began >= 0.4 and len(older.targets) > 1
+        moved.discovery.source.close()
+
+    run(job())
+    assert "version 4 is older than 9" in caplog.text
+    assert "there is but an older list: version 4 after 9" in caplog.text
+
+
+def test_a_list_of_another_history_replaces_all_and_a_single_address_is_always_believed() -> None:
+    async def job() -> None:
+        only = Watch(script(HEAD + chunk(catalog(9, [entry("s1", AT)])), stay=False),
+                     always(catalog(4, [entry("s2", AT)])))
+        moved = Moved(await only.start())
+        assert await moved.names() == (i.ListKind.FULL, ["s1"])
+        assert await moved.names() == (i.ListKind.FULL, ["s2"])
+        assert moved.discovery.version == 4
+        moved.discovery.source.close()
+
+    run(job())
+
+
+def test_the_age_of_the_list_is_known_and_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(discovery, "SILENT_S", 0.3)
+
+    async def job() -> None:
+        moved = Moved(await Watch(script(), always(catalog(5, [])), script()).start())
+        assert moved.discovery.age_s() < 0
+        assert await versions(moved, 1) == [5]
+        assert 0 <= moved.discovery.age_s() < 0.3
+        while moved.discovery.age_s() < 0.5:
+            await asyncio.sleep(0.02)
+        moved.discovery.source.close()
+
+    run(job())
+    assert "the watch on discovery is silent; the list is the one known at the start" in caplog.text
+    assert "the watch on discovery is silent; the list is 0.3 s old" in caplog.text
+
+
+@pytest.mark.parametrize("pieces", [
+    [b"nonsense\r\n\r\n"],
+    [b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 100_000],  # a head without an end
+    [HEAD + chunk(b"{" * 600_000), chunk(b"{" * 600_000)],  # a line without an end
+    [HEAD + chunk(b'{"generation":')],  # half a line, and then silence
+    [HEAD + b"zz\r\n"],
+    [],  # an answer that never starts
+])
+def test_what_fails_is_bounded_and_the_next_address_serves(
+    pieces: list[bytes], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery, "SILENT_S", 0.3)
+
+    async def job() -> None:
+        good = Watch(always(catalog(5, [entry("s1", AT)])))
+        moved = Moved(await Watch(script(*pieces)).start(), await good.start())
+        assert await versions(moved, 1) == [5]
+        moved.discovery.source.close()
+
+    run(job())
+
+
+def test_waits_between_tries_have_full_jitter_and_a_bound() -> None:
+    async def job() -> None:
+        waits = []
+
+        class Noted(random.Random):
+            def uniform(self, a: float, b: float) -> float:
+                waits.append((a, b))
+                return 0.0
+
+        found = Discovery((refusing_address(),), Catalog(CONFIG), 0, lambda news: None,
+                          lambda job: asyncio.create_task(job), chance=Noted())
+        found.start()
+        while len(waits) < 8:
+            await asyncio.sleep(0.01)
+        found.source.close()
+        assert [low for low, _ in waits] == [0] * len(waits)
+        highs = [high for _, high in waits]
+        assert highs[:4] == [0.2, 0.4, 0.8, 1.6] and max(highs) == discovery.MOST_BACKOFF_S
+
+    run(job())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -57,7 +57,7 @@
 
 def test_configuration_is_read(tmp_path: Path) -> None:
     found = load({**write(tmp_path, config()), "PROXY_LISTEN": f"{HOST}:6379", "PROXY_NAME": "n9"})
-    assert (found.name, found.listen, found.discovery) == ("n9", (HOST, 6379), (HOST, 8))
+    assert (found.name, found.listen, found.discovery) == ("n9", (HOST, 6379), ((HOST, 8),))
     assert found.settings.seed == 0x8C1F30D27A5BE964 and found.settings.gateways == 2
     assert found.class_numbers == {"read": 0, "settle": 1} and found.zone_numbers == {"a": 0, "b": 1}
     assert found.settings.classes[1].effect.value == "unsafe" and found.settings.plans[0].rate == 9.0
--- a/tests/test_roster_end_to_end.py
+++ b/tests/test_roster_end_to_end.py
@@ -57,7 +57,7 @@
 
 
 async def door_at(discovery: Address) -> FrontDoor:
-    door = FrontDoor(replace(CONFIG, discovery=discovery))
+    door = FrontDoor(replace(CONFIG, discovery=(discovery,)))
     await door.start()
     return door
 
@@ -158,7 +158,7 @@
             await known(door, "s-1")
             client = await Client.open(door.address)
             await ask(client, 5, "follower")
-            door.reconfigure(replace(door.config, discovery=first))  # as SIGHUP does
+            door.reconfigure(replace(door.config, discovery=(first,)))  # as SIGHUP does
             await copies.stop()
             await servers["s-1"][1].drain()
             await known(door, "s-1", state=i.ServerState.DRAINING)
