Answer a watch's first object at once also where nothing changed; measure ways back in turns

The first object now comes at once, with nothing in it where nothing changed. rig back plays restarts of several shares of the doors with their state, without and with a stale one, of a revision and of this tree in turns, several plays side by side; counts of a run end with its load.

--- /dev/null
+++ b/rig/back.py
@@ -0,0 +1,157 @@
+"""The way back measured: restarts of several shares of the doors, with and without state, of several trees.
+
+Each play is a process of its own (`python -m rig run`), so that several go on side by side; a calm twin is
+played once for each tree and seed.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from bench.process import ROOT
+from rig.errors import RigError
+from rig.figures import Figures, figures
+from rig.plan import Plan, dump
+from rig.runs import BROKEN_RULE, Run, kept, median, text
+
+STATES = {"none": ("none", False), "kept": ("kept", True), "stale": ("stale", True)}
+END_S = 20.0  # for a play to end all its processes after SIGTERM
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One play: which doors' tree, what share of the doors, what state they come back with."""
+
+    side: str
+    tree: Path
+    part: float  # 0: the calm twin
+    state: str
+    seed: int
+
+    @property
+    def name(self) -> str:
+        return f"{self.side.replace(' ', '-')}-{self.state}-{self.part:g}-{self.seed}"
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What became of a case: its figures against its twin, and the rules that it broke."""
+
+    case: Case
+    figures: Figures
+    violations: list[str]
+
+
+def cases(sides: dict[str, Path], parts: Iterable[float], states: Iterable[str],
+          seeds: Iterable[int]) -> list[Case]:
+    """All plays in the order in which they are made: sides in turns, twins among them."""
+    return [Case(side, tree, part, state, seed) for seed in seeds for state in states
+            for part in (0.0, *parts) for side, tree in sides.items()]
+
+
+def plan_of(plan: Plan, case: Case) -> Plan:
+    """The plan with its first fault on that share of the doors, which come back with that state."""
+    if not plan.faults or plan.faults[0].kind not in ("kill", "term") or plan.faults[0].on != "doors":
+        raise RigError(f"{plan.name}: its first fault does not restart doors")
+    state, kept_ = STATES[case.state]
+    replace = msgspec.structs.replace
+    first = replace(plan.faults[0], part=case.part, numbers=(), state=state)
+    faults = (first, *plan.faults[1:]) if case.part else ()
+    return replace(plan, faults=faults, state=kept_)
+
+
+class Pool:
+    """Plays side by side; `stop` ends those that run."""
+
+    def __init__(self, jobs: int, out: Path) -> None:
+        self.pool, self.out = ThreadPoolExecutor(jobs), out
+        self.running: set[subprocess.Popen[bytes]] = set()
+        self.stopped = False
+
+    def play(self, plan: Plan, case: Case) -> Run:
+        folder = self.out / case.name
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / "wanted.toml"
+        path.write_text(dump(plan_of(plan, case)))
+        words = [sys.executable, "-m", "rig", "run", str(path), "--seed", str(case.seed), "--no-twin",
+                 "--out", str(folder), "--tree", str(case.tree)]
+        if self.stopped:
+            raise RigError("stopped")
+        process = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
+                                   start_new_session=True)
+        self.running.add(process)
+        try:
+            _, errors = process.communicate()
+        finally:
+            self.running.discard(process)
+        if process.returncode not in (0, BROKEN_RULE):
+            said = errors.decode(errors="replace").strip().splitlines() or ["it said nothing"]
+            raise RigError(f"{case.name}: {said[-1]}")
+        return kept(folder)
+
+    def stop(self) -> None:
+        """End what runs; its own processes go with it."""
+        self.stopped = True
+        running = list(self.running)
+        for process in running:
+            process.terminate()
+        for process in running:
+            try:
+                process.wait(END_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+        self.pool.shutdown(cancel_futures=True)
+
+
+def measure(plan: Plan, wanted: list[Case], jobs: int, out: Path, say: Callable[[str], None]) -> list[Result]:
+    """Make all plays and hold each against its twin. What cannot be played ends all others."""
+    pool = Pool(jobs, out)
+    try:
+        futures = [pool.pool.submit(pool.play, plan, case) for case in wanted]
+        runs: dict[Case, Run] = {}
+        for case, future in zip(wanted, futures, strict=True):
+            runs[case] = future.result()
+            say(f"{len(runs)} of {len(wanted)}: {case.name}: served {runs[case].figures.served:.3f}, "
+                f"{len(runs[case].violations)} broken")
+    finally:
+        pool.stop()
+    found = []
+    for case, run in runs.items():
+        twin = runs[Case(case.side, case.tree, 0.0, case.state, case.seed)]
+        if case.part:
+            found.append(Result(case, figures(run.seen, twin.seen),
+                                [f"{one.rule}: {one.text}" for one in run.violations]))
+    return found
+
+
+COLUMNS: dict[str, Callable[[Figures], object]] = {
+    "full service, s": lambda found: found.full_s,
+    "after the last PONG": lambda found: found.full_after_pong_s,
+    "worst second": lambda found: found.worst_second,
+    "worth lost": lambda found: found.lost,
+    "opened to calm": lambda found: found.connections / max(1, found.connections_calm or 0),
+    "words to calm": lambda found: found.words / max(1, found.words_calm or 0),
+    "list reads to calm": lambda found: found.list_reads / max(1, found.list_reads_calm or 0),
+    "beyond, less calm": lambda found: found.beyond - (found.beyond_calm or 0),
+    "retries": lambda found: found.retries,
+    "failed": lambda found: found.failed,
+    "pushed over": lambda found: found.pushed_over,
+}
+
+
+def table(results: list[Result]) -> list[list[str]]:
+    """By side, state and share: the median of each figure over the seeds, and all broken rules."""
+    rows = [["doors", "state", "share", "seeds", *COLUMNS, "broken"]]
+    for key in dict.fromkeys((one.case.side, one.case.state, one.case.part) for one in results):
+        of = [one for one in results if (one.case.side, one.case.state, one.case.part) == key]
+        cells = [text(median([column(one.figures) for one in of])) for column in COLUMNS.values()]
+        rows.append([key[0], key[1], f"{key[2]:g}", str(len(of)), *cells,
+                     str(sum(len(one.violations) for one in of))])
+    return rows
--- a/roster/server.py
+++ b/roster/server.py
@@ -139,11 +139,12 @@
         await response.prepare(request)
         if request.transport is not None:
             request.transport.set_write_buffer_limits(BUFFER)
+        first = True  # which tells, also with nothing in it, that the reader is up to date
         try:
             while not self.stopping:
                 changed = self.changed
-                if after != self.held.generation:
-                    line, after = self.encode(after), self.held.generation
+                if first or after != self.held.generation:
+                    line, after, first = self.encode(after), self.held.generation, False
                     await asyncio.wait_for(response.write(line), LAG_S)
                     continue  # there may be more by now
                 try:
--- a/tests/test_roster_server.py
+++ b/tests/test_roster_server.py
@@ -80,6 +80,8 @@
             "instanceId": "s-1", "hostPort": "127.0.0.1:6001", "zone": "east", "machineType": "m1", "cell": 3,
             "lifecycle": "SERVING", "weight": 2.0, "startedAtMs": 7}]}
         watch = client.watch(first)
+        # The first object comes at once, also with nothing in it: the reader knows that it is up to date.
+        assert await anext(watch) == {"generation": first, "reset": False, "instances": []}
         assert await anext(watch) is None  # an empty line while nothing changes
         second = await client.put("s-2", 6002)
         news = [line async for line in until(watch, second)][-1]
@@ -149,6 +151,8 @@
     async def act(client: Client) -> None:
         start = await client.put("s-1", 6001)
         watches = [client.watch(start) for _ in range(50)]
+        for watch in watches:
+            assert not (await anext(watch))["instances"]
         pending = [asyncio.ensure_future(anext(watch)) for watch in watches]
         while client.service.watchers < 50:
             await asyncio.sleep(0.01)
