Divide ceilings by the steward's leases in the front doors, off by default

Need: the steward's budgets were used by a stand-in alone.

With a steward in its configuration a front door asks for parts of the ceilings of customers that it was asked for lately (molereach/allowance.py: batched, jittered, at a third of the lease, sooner for a customer that has just come); grants come to the module as an event, and a leased ceiling is the granted part until its lease ends and a floor at all times (fennelwinch/allowances.py). What a smaller part has no room for goes back with the next ask. Spare parts go by demand; a part that is too large by up to a quarter stays. The rig runs a steward (plans/leases.toml), a folder of a first history is made by 'steward begin', services that start again have addresses of their own.

A time-out was logged with no reason in discovery.py and client.py.

--- a/bench/process.py
+++ b/bench/process.py
@@ -236,8 +236,9 @@
         line = (await asyncio.wait_for(process.stdout.readline(), READY_S)).decode().strip()
         if not line:
             raise BenchError(f"'{' '.join(words[:2])}' does not start: {found.last_line()}")
-        _, _, port = line.rpartition(":")
-        found.address = HOST, int(port) if port.isdecimal() else 0
+        host, _, port = line.split()[-1].rpartition(":")
+        if port.isdecimal():
+            found.address = host, int(port)
         return found, line
     except BaseException as error:
         found.kill()
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -119,6 +119,7 @@
     warm_within_us: int = 0
     fall_multiple: float = 1.0
     fall_us: int = 1
+    leased: bool = False  # ceilings are divided by a steward's leases, not by fixed parts and words
 
 
 # --- what comes in ---
@@ -336,9 +337,35 @@
     age_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """A customer whose ceiling a part is needed of: the demand for it here, in units a second, and the units
+    that no longer fitted in with the last grant."""
+
+    customer: int
+    plan_index: int
+    set_first: int
+    set_size: int
+    demand: float
+    back: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """A steward's grant: a share of a customer's ceiling until a time, and units that come with it."""
+
+    customer: int
+    plan_index: int
+    set_first: int
+    set_size: int
+    share: float
+    units: float
+    until_us: int
+
+
 Event = (
     ServerList | Request | StreamStarted | Outcome | ClientGone | Draining | Timer | ProbeResult | PeerMessage
-    | Counted | Recall
+    | Counted | Recall | Allowance
 )
 
 
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -7,6 +7,7 @@
 import zlib
 from bisect import insort
 
+from fennelwinch import allowances
 from fennelwinch import interface as i
 from fennelwinch.base import NEVER, TICK_US, Job, S
 from fennelwinch.cap import FAIR_N, MOST_PERIODS
@@ -44,7 +45,7 @@
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
                    i.ClientGone: self.on_end, i.StreamStarted: self.on_end, i.Draining: self.on_draining,
-                   i.Recall: self.on_recall}
+                   i.Recall: self.on_recall, i.Allowance: self.on_allowance}
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
@@ -96,6 +97,9 @@
             if not job.servers:
                 self.expire(job, NEEDED_HELD)
 
+    def on_allowance(self, event: i.Allowance) -> None:
+        allowances.take(self, event)
+
     def on_recall(self, event: i.Recall) -> None:
         self.actions.append(i.Log(recall(self, event)))
 
--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -79,6 +79,11 @@
     if keep:
         keep.recall(door)
     await door.start()
+    if config.steward:
+        from molereach.allowance import Allowances  # no steward, no packages for it
+
+        allowances = Allowances(door, config)
+        renewing = loop.create_task(allowances.run())
     keeping = loop.create_task(keep.run(door)) if keep else None
     # What lives as long as the process need not be looked through by every collection.
     gc.collect()
@@ -87,6 +92,8 @@
     await stopped.wait()
     log.info("%s drains", config.name)
     await door.drain()
+    if config.steward:
+        renewing.cancel()
     if keep:
         keeping.cancel()
         keep.end(door)
--- /dev/null
+++ b/molereach/allowance.py
@@ -0,0 +1,81 @@
+"""The front door's side of the steward: asks for parts of ceilings, and hands what is granted to the module.
+
+Off unless the configuration names a steward. No request waits for it: asks are batched for all customers, at
+a third of the lease with jitter, and what comes back is an event like any other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from fennelwinch import interface as i
+from fennelwinch.allowances import wanted
+from molereach.backends import now_us
+from molereach.config import Config
+from steward.client import Renewer
+from steward.holder import Holder
+from steward.state import Terms
+from steward.wire import now_ms
+
+if TYPE_CHECKING:
+    from molereach.frontdoor import FrontDoor
+
+MOST_WANTED = 2000  # customers in one ask: as many as a steward takes
+LOOK_S = 0.1  # between looks for customers that have come
+THOUSANDTHS = 1000  # in which a steward counts units a second
+
+
+class Allowances:
+    """One start's parts of the customers' ceilings."""
+
+    def __init__(self, door: FrontDoor, config: Config) -> None:
+        self.door, self.plans = door, {number: name for name, number in config.plan_numbers.items()}
+        chance = random.Random(config.settings.seed)
+        # Stores and floors are the module's, by a customer's set; the holder's own are of no use here.
+        self.holder = Holder(config.settings.me, chance.getrandbits(63), config.settings.gateways)
+        self.keys: dict[str, tuple[int, int, int, int]] = {}  # of budgets that are asked for
+        self.taken: dict[str, int] = {}  # by budget: the fence of the grant that was handed on last
+        steward = config.steward
+        self.renewer = Renewer(self.holder, steward.addresses, steward.secret, steward.lease_ms, chance,
+                               self.prepare, self.renewed)
+
+    async def run(self) -> None:
+        """Renew, and sooner where a customer comes that nothing is held for."""
+        renewing = asyncio.get_running_loop().create_task(self.renewer.run())
+        try:
+            while True:
+                await asyncio.sleep(LOOK_S)
+                if any(self.name(want) not in self.keys for want in wanted(self.door.gateway, now_us())):
+                    self.renewer.hurry()
+        finally:
+            renewing.cancel()
+
+    def name(self, want: i.Wanted) -> str:
+        """A customer's ceiling as the steward knows it."""
+        set_ = f"{want.set_first}.{want.set_size}"
+        return f"ceiling/{self.plans[want.plan_index]}/{set_}/{want.customer:08x}"
+
+    def prepare(self) -> None:
+        """Tell the holder of all customers that a part is needed for; others are let go of by it."""
+        now = now_ms()
+        for want in wanted(self.door.gateway, now_us())[:MOST_WANTED]:
+            plan = self.door.settings.plans[want.plan_index]
+            name = self.name(want)
+            self.keys[name] = (want.customer, want.plan_index, want.set_first, want.set_size)
+            terms = Terms(round(plan.ceiling_rate * THOUSANDTHS), int(plan.ceiling_burst))
+            self.holder.use(name, terms, round(want.demand * THOUSANDTHS), now)
+            self.holder.parts[name].back = want.back  # the store is the module's, and so is what it gave up
+        for name in [name for name in self.keys if name not in self.holder.parts]:
+            del self.keys[name]
+            self.taken.pop(name, None)
+
+    def renewed(self) -> None:
+        """Hand on what is new."""
+        now, here = now_ms(), now_us()
+        for name, part in self.holder.parts.items():
+            if part.fence and part.fence != self.taken.get(name):
+                self.taken[name] = part.fence
+                until_us, share = here + (part.until_ms - now) * 1000, part.part / part.terms.whole
+                self.door.post(i.Allowance(*self.keys[name], share, part.came, until_us))
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from fennelwinch import interface as i
@@ -15,6 +15,15 @@
     """The environment or the configuration is not usable; the text is one plain line."""
 
 
+@dataclass(frozen=True, slots=True)
+class Steward:
+    """The steward of the fleet's budgets: where it is, one address of several at a time, and the secret."""
+
+    addresses: tuple[Address, ...]
+    secret: bytes
+    lease_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """The front door's own address, whom it talks to, its limits and the module's settings."""
@@ -36,6 +45,7 @@
     time_stages: bool = False  # tell the processor time by stage, which itself takes some
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
+    steward: Steward | None = None  # who divides ceilings by leases; none: fixed parts and words
     state_dir: str = ""  # where a snapshot is kept for the next start; none: nowhere
     clock_offset_ms: int = 0  # added to the system's time, for tests of clocks that are off
 
@@ -87,6 +97,24 @@
     return value
 
 
+def read_steward(values: object) -> Steward | None:
+    """The part of the file on the steward; the secret is in a file of its own."""
+    if not values:
+        return None
+    if not isinstance(values, dict):
+        raise ConfigError("steward is no object")
+    path = path_of(values, "secret_file")
+    try:
+        with open(path, "rb") as file:
+            secret = file.read().strip()
+    except OSError as error:
+        raise ConfigError(f"cannot read the steward's secret: {error.strerror}") from error
+    lease_ms = int(values.get("lease_ms") or 3000)
+    if lease_ms < 500:
+        raise ConfigError("the steward's lease_ms is less than 500")
+    return Steward(read_addresses(values["addresses"]), secret, lease_ms)
+
+
 def path_of(values: Mapping[str, Any], name: str) -> str:
     value = values.get(name) or ""
     if not isinstance(value, str) or "\0" in value:
@@ -100,11 +128,12 @@
     pairs = Pairs(dict(flatten(settings)))
     peer_listen = values.get("peer_listen")
     limits = values.get("limits") or {}
+    steward = read_steward(values.get("steward"))
     config = Config(
         name=env.get("PROXY_NAME") or values["name"],
         listen=read_address(env.get("PROXY_LISTEN") or values["listen"]),
         discovery=read_addresses(env.get("PROXY_DISCOVERY") or values["discovery"]),
-        settings=read_settings(int(values["seed"], 16), pairs),
+        settings=replace(read_settings(int(values["seed"], 16), pairs), leased=steward is not None),
         class_numbers=numbers(settings["categories"]),
         plan_numbers=numbers(settings["plans"]),
         zone_numbers=numbers(settings.get("zones")),
@@ -118,6 +147,7 @@
         time_stages=flag(values, "time_stages"),
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=tuple(map(read_address, values.get("peers") or ())),
+        steward=steward,
         state_dir=path_of(values, "state_dir"),
         clock_offset_ms=int(values.get("clock_offset_ms") or 0),
     )
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -235,7 +235,7 @@
                     await self.read(f"/catalog/members?watch=1&after={self.version}")
             except (OSError, TimeoutError) as error:
                 log.warning("no watch on discovery at %s:%d: %s; the list is %s", *self.address,
-                            error or "it does not answer", self.age())
+                            str(error) or "it does not answer", self.age())
             except Exception:
                 log.exception("the watch on discovery failed")  # without it the list would grow old unseen
             if self.retiring:
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -18,9 +18,9 @@
 from rig.errors import RigError
 
 # Kinds of process, and of link: between two kinds of process, the one that connects first.
-Who = Literal["doors", "servers", "list", "follower", "clients"]
+Who = Literal["doors", "servers", "list", "follower", "steward", "clients"]
 Link = Literal["clients-doors", "doors-servers", "doors-doors", "doors-list", "doors-follower",
-               "servers-list", "follower-list"]
+               "doors-steward", "servers-list", "follower-list"]
 ON_PROCESSES = ("kill", "term", "pause", "full_disk")
 ON_SERVERS = ("bad", "errors_fast", "slow", "replace")
 ON_LINKS = ("cut", "hold", "delay", "lose", "repeat", "reorder", "limit", "break")
@@ -89,6 +89,7 @@
     clients: Annotated[int, msgspec.Meta(ge=1, le=32)] = 1  # processes
     follower: bool = True  # a second list service, which every other door reads
     lease_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 3.0
+    steward: bool = False  # ceilings are divided by leases; else by fixed parts and words
     state: bool = False  # doors keep a snapshot (`state_dir`)
     limits: Limits = Limits()
 
@@ -119,7 +120,7 @@
     if fleet.doors > MOST_DOORS or fleet.length_s > MOST_LENGTH_S:
         raise RigError(f"{name}: at most {MOST_DOORS} doors for {MOST_LENGTH_S} s")
     counts: dict[str, Count] = {"doors": fleet.doors, "servers": fleet.servers.count, "clients": plan.clients,
-                                "list": 1, "follower": int(plan.follower)}
+                                "list": 1, "follower": int(plan.follower), "steward": int(plan.steward)}
     for fault in plan.faults:
         if fault.at_s > fleet.length_s:
             raise RigError(f"{name}: {fault.kind} begins after the end")
--- a/steward/__main__.py
+++ b/steward/__main__.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from durable.records import DamageError
-from steward.book import Book, LockedError
+from steward.book import Book, LockedError, begin
 from steward.check import PLANTED, Kind, Outcome, explore, wander
 from steward.config import ConfigError, read
 from steward.server import Service
@@ -93,6 +93,19 @@
         sys.exit(f"steward: {error.filename or listen}: {error.strerror}")
 
 
+@cli.command("begin")
+@click.option("--data", type=click.Path(file_okay=False, path_type=Path), required=True)
+@click.option("--config", "config_path", type=click.Path(dir_okay=False, path_type=Path), required=True)
+def begin_(data: Path, config_path: Path) -> None:
+    """Make the folder of a fleet's first steward: without it the first grants wait for the longest lease."""
+    try:
+        begin(data, read(config_path))
+    except (ConfigError, LockedError) as error:
+        sys.exit(f"steward: {error}")
+    except OSError as error:
+        sys.exit(f"steward: {data}: {error.strerror}")
+
+
 @cli.command("check")
 @click.option("--doors", type=click.IntRange(1, 4), default=3, show_default=True)
 @click.option("--budgets", type=click.IntRange(1, 2), default=2, show_default=True)
--- a/steward/book.py
+++ b/steward/book.py
@@ -25,7 +25,7 @@
 
 
 class LockedError(Exception):
-    """Another process has the folder."""
+    """The folder is another's: a process has it, or a history is in it."""
 
 
 def boot() -> str:
@@ -35,6 +35,19 @@
         return ""
 
 
+def begin(folder: Path, config: Config) -> None:
+    """Make a folder for a history that is the first: nobody can hold anything, and nothing is waited for."""
+    book = Book(folder)
+    try:
+        if book.snapshot_path.exists():
+            raise LockedError(f"there is a history in the folder {folder} already")
+        state = book.open(config)
+        state.quiet_until_ms = 0
+        book.snapshot(state)
+    finally:
+        book.close()
+
+
 class Book:
     """The folder of a steward's, while it is locked."""
 
--- a/steward/client.py
+++ b/steward/client.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hmac
 import logging
 import random
@@ -22,6 +23,7 @@
 
 Address = tuple[str, int]
 RENEW_SHARE, JITTER = 1 / 3, 0.25  # of the lease: two renewals may get lost
+HURRY_S = 0.2  # between two renewals at least, also where something new is wanted
 MOST_ANSWER = 1 << 20  # bytes
 
 
@@ -74,14 +76,15 @@
 
     def __init__(
         self, holder: Holder, addresses: tuple[Address, ...], secret: bytes, lease_ms: int,
-        chance: random.Random, renewed: Callable[[], None] = lambda: None,
+        chance: random.Random, prepare: Callable[[], None], renewed: Callable[[], None],
     ) -> None:
-        """`renewed` is called when an answer has been taken over."""
+        """`prepare` is called before each ask, to tell demand; `renewed` when an answer was taken over."""
         self.holder, self.addresses, self.secret, self.lease_ms = holder, addresses, secret, lease_ms
-        self.random, self.renewed = chance, renewed
+        self.random, self.prepare, self.renewed = chance, prepare, renewed
         self.at = 0
         self.line: Line | None = None
         self.asks = self.failures = 0
+        self.wanting = asyncio.Event()
 
     async def run(self) -> None:
         """Renew until it is cancelled; the first time at once, spread over a part of a renewal."""
@@ -93,10 +96,21 @@
                 # Where one fails the next is tried soon, and not by all at the same moment.
                 wait = self.random.uniform(1 - JITTER, 1) * part_s if good else self.random.uniform(
                     0, part_s / 2)
-                await asyncio.sleep(wait)
+                await self.rest(wait)
         finally:
             self.drop()
 
+    async def rest(self, wait_s: float) -> None:
+        """Until the next renewal is due, or something is wanted that nothing is held of."""
+        await asyncio.sleep(min(wait_s, HURRY_S))
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.wanting.wait(), max(0.0, wait_s - HURRY_S))
+        self.wanting.clear()
+
+    def hurry(self) -> None:
+        """There is demand for something that nothing is held of yet."""
+        self.wanting.set()
+
     async def once(self, within_s: float) -> bool:
         """One renewal: whether it was answered."""
         self.asks += 1
@@ -107,7 +121,7 @@
         except (OSError, TimeoutError, CallError, h11.ProtocolError, msgspec.MsgspecError) as error:
             self.failures += 1
             log.warning("no renewal by the steward at %s:%d: %s", *self.addresses[self.at],
-                        error or "it does not answer")
+                        str(error) or "it does not answer")
             self.drop()
             self.at = (self.at + 1) % len(self.addresses)
             return False
@@ -115,6 +129,7 @@
     async def renew(self) -> None:
         if self.line is None:
             self.line = Line(self.addresses[self.at])
+        self.prepare()
         body = msgspec.msgpack.encode(self.holder.ask(now_ms()))
         status, signed, found = await self.line.call(body, sign(self.secret, body))
         if status != 200:
--- a/steward/holder.py
+++ b/steward/holder.py
@@ -27,6 +27,7 @@
     until_ms: int = -1
     level_thousandths: int = 0  # units in the store
     level_at_ms: int = 0
+    came: int = 0  # units that came with the last grant
     back: int = 0  # units that did not fit in any more with the grant of this fence
     used_ms: int = 0  # when there was demand last
 
@@ -84,7 +85,7 @@
 
     def take_over(self, part: Part, amount: int, fence: int, units: int, until_ms: int, now_ms: int) -> None:
         self.fill(part, now_ms)
-        part.part, part.fence, part.until_ms = amount, fence, until_ms
+        part.part, part.fence, part.until_ms, part.came = amount, fence, until_ms, units
         part.level_thousandths += 1000 * units
         most = self.most_thousandths(part, now_ms)
         part.back = max(0, part.level_thousandths - most) // 1000
--- /dev/null
+++ b/tests/test_allowances.py
@@ -0,0 +1,134 @@
+"""Ceilings by leases: what a gateway asks for, what it makes of grants, and doors with a real steward."""
+
+import sys
+from dataclasses import replace
+
+import pytest
+
+from bench.process import ROOT, Tree
+from fennelwinch import interface as i
+from fennelwinch.allowances import FLOOR, WANTED_US, wanted
+from molereach.config import ConfigError, read_steward
+from rig.checks import Seen, check
+from rig.plan import load
+from rig.runs import play_once
+from tests.helpers import SETTINGS, S, World
+
+PLAN = i.Plan(rate=100.0, burst=100.0, ceiling_rate=20.0, ceiling_burst=40.0)
+LEASED = replace(SETTINGS, gateways=2, plans=(PLAN,), leased=True)
+
+
+def gateway() -> World:
+    """One of two, which has been asked for its customer once."""
+    world = World(LEASED)
+    world.ask("first", set_size=2)
+    return world
+
+
+def allow(world: World, share: float, units: float = 0.0, lasts_us: int = 3 * S) -> None:
+    ((key, _),) = world.gateway.customers.items()
+    world.tell(i.Allowance(*key, share, units, world.now + lasts_us))
+
+
+def ceiling(world: World) -> float:
+    ((_, customer),) = world.gateway.customers.items()
+    return customer.refill(world.now).ceiling
+
+
+def test_a_ceiling_is_the_floor_until_a_part_is_granted_and_after_its_lease() -> None:
+    world = gateway()
+    floor = FLOOR / 2
+    world.now += 100 * S
+    assert ceiling(world) == pytest.approx(40.0 * floor)
+    allow(world, 0.5)
+    world.now += S
+    assert ceiling(world) == pytest.approx(40.0 * floor + 20.0 * (0.5 + floor))
+    world.now += 10 * S  # two seconds of them within the lease; then what the floor holds
+    assert ceiling(world) == pytest.approx(40.0 * floor)
+
+
+def test_units_come_at_the_granted_rate_up_to_the_leases_end_and_no_longer() -> None:
+    world = gateway()
+    allow(world, 0.25, lasts_us=S)
+    ((_, customer),) = world.gateway.customers.items()
+    customer.share_until = world.now + S
+    world.now += S - 1
+    assert ceiling(world) == pytest.approx(20.0 * (0.25 + FLOOR / 2), rel=0.01)
+    world.now += 1
+    assert ceiling(world) == pytest.approx(40.0 * FLOOR / 2)
+
+
+def test_what_a_smaller_part_has_no_room_for_goes_back_in_whole_units() -> None:
+    world = gateway()
+    allow(world, 0.8, units=30.0)
+    assert ceiling(world) == 30.0
+    allow(world, 0.2)
+    ((_, customer),) = world.gateway.customers.items()
+    most = 40.0 * (0.2 + FLOOR / 2)
+    assert customer.back == int(30.0 - most) and ceiling(world) <= most
+    (want,) = wanted(world.gateway, world.now)
+    assert want.back == customer.back
+    allow(world, 0.2)
+    assert wanted(world.gateway, world.now)[0].back == 0  # told with one grant, and not again
+
+
+def test_no_more_is_taken_than_leases_can_grant() -> None:
+    world = gateway()
+    allow(world, 7.0, units=1e9)
+    assert ceiling(world) <= 40.0 * (1 - FLOOR + FLOOR / 2) + 1e-9
+    world.tell(i.Allowance(1, 0, 0, 2, 0.5, 1.0, world.now + S))  # of a customer that is not known here
+    assert len(world.gateway.customers) == 1
+    plain = World(replace(LEASED, leased=False))
+    plain.ask("first", set_size=2)
+    before = ceiling(plain)
+    allow(plain, 0.9, units=30.0)
+    assert ceiling(plain) == before
+
+
+def test_what_is_asked_for_is_the_demand_lately() -> None:
+    world = gateway()
+    for number in range(60):
+        world.now += S // 10
+        world.ask(f"r{number}", set_size=2)
+    (want,) = wanted(world.gateway, world.now)
+    assert want.demand == pytest.approx(10.0, rel=0.15)
+    assert wanted(world.gateway, world.now + WANTED_US) == []
+
+
+def test_requests_leave_by_the_granted_part() -> None:
+    world = World(LEASED)
+    for number in range(10):
+        world.ask(f"r{number}")
+    assert world.gateway.accepted == 0  # the floor's store starts empty
+    allow(world, 0.9, units=4.0)
+    assert world.gateway.accepted == 4
+
+
+@pytest.mark.parametrize("values, said", [
+    ([], None), (3, "no object"), ({"secret_file": "/nowhere", "addresses": "x"}, "cannot read"),
+    ({"secret_file": __file__, "addresses": "nowhere"}, "not an address"),
+    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "lease_ms": 5}, "less than 500"),
+])
+def test_what_is_wrong_with_the_part_on_the_steward_is_one_line(values: object, said: str | None) -> None:
+    if said is None:
+        assert read_steward(values) is None
+        return
+    with pytest.raises(ConfigError, match=said):
+        read_steward(values)
+
+
+@pytest.fixture(scope="module")
+def leases() -> Seen:
+    here = Tree(ROOT, f"exec {sys.executable} -m molereach", tells_costs=True)
+    return play_once(load("leases"), 1, here, lambda text: None)
+
+
+def test_front_doors_serve_by_leases_while_doors_and_steward_die(leases: Seen) -> None:
+    """No ceiling is passed over all doors; what the floors hold alone would serve nobody of that plan."""
+    assert check(leases) == []
+    doors = {record["sides"][0] for record in leases.by["open"] if record["link"] == "doors-steward"}
+    assert doors == {f"doors-{number}" for number in range(6)}
+    assert {record["who"] for record in leases.by["died"]} >= {"steward-0"}
+    back = max(record["at"] for record in leases.by["started"] if record["who"] == "steward-0")
+    capped = [record["at"] for record in leases.by["came"] if record["plan"] == "institution"]
+    assert len(capped) > 50 and any(at > back + S for at in capped)
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -65,6 +65,7 @@
         way.append(stepped(way[-1], 900, 1000))
     assert way == [0, 250, 500, 750, 900]
     assert stepped(900, 10, 1000) == 10
+    assert stepped(100, 80, 1000) == 100 and stepped(100, 74, 1000) == 74  # a little too large: it stays
 
 
 # --- the checker ---
