Do not hold against doors what the rig itself was late for

The rig and its clients note when their loops were late by more than 0.1 s; checkers that go by time excuse a second around that, and the figures tell the worst of it.

--- a/rig/clients.py
+++ b/rig/clients.py
@@ -19,7 +19,7 @@
 from molereach.resp import encode
 from rig.history import Writer
 from rig.program import Order, Told, orders, start
-from rig.realtime import RealClock, now_us
+from rig.realtime import RealClock, now_us, watch_lag
 from rig.world import Asked, World, load_of
 
 if TYPE_CHECKING:
@@ -209,6 +209,7 @@
         load = load_of(self.told.plan, self.told.seed, self.told.number)
         print(f"clients {self.told.number} have {len(load)} entries", flush=True)
         listening = self.loop.create_task(orders(self.order))
+        self.spawn(watch_lag(self.writer.note))
         await self.began.wait()
         await self.play(load)
         listening.cancel()
--- a/rig/figures.py
+++ b/rig/figures.py
@@ -35,6 +35,7 @@
     refused: int
     failed: int
     gone: int
+    rig_late_s: float  # at most, of the rig's own loop and its clients': the machine was too busy
 
     def as_json(self) -> dict[str, object]:
         return asdict(self)
@@ -114,6 +115,7 @@
         pushed_over=len(seen.by["fell"]), beyond=beyond(seen), beyond_calm=beyond(calm) if calm else None,
         retries=len(seen.by["end"]) / max(1, len(seen.by["ask"])) - 1,
         refused=ends["refused"], failed=ends["failed"], gone=ends["gone"],
+        rig_late_s=max((record["us"] / S for record in seen.by["stalled"]), default=0.0),
     )
 
 
--- a/rig/history.py
+++ b/rig/history.py
@@ -18,6 +18,7 @@
 | `go` | rig | when the load begins and ends |
 | `fault`, `undone`, `woke` | rig | a fault and whom it strikes; its end; the end of a pause |
 | `started`, `died` | rig | a process, and whether the rig meant it to end |
+| `stalled` | rig, clients | the own loop was late by so much: the machine was too busy |
 | `door` | a door's log | a line of it, at its time |
 """
 
--- a/rig/play.py
+++ b/rig/play.py
@@ -16,7 +16,7 @@
 from rig.fleet import Fleet, Member
 from rig.history import Record, merge, of_log, offset_us, read
 from rig.plan import ON_LINKS, ON_PROCESSES, TAIL_S, Fault, Plan
-from rig.realtime import now_us
+from rig.realtime import now_us, watch_lag
 
 LEAD_US = 300_000  # from the order to begin until the load begins
 ENDS_S = 8.0  # past the load and its tail, for clients to end: a machine may be slow
@@ -46,6 +46,7 @@
         for member in fleet.of("clients"):
             member.meant = True  # to end, with its load
             member.order(go=self.start_us)
+        self.spawn(watch_lag(fleet.writer.note))
         for index, fault in enumerate(self.plan.faults):
             self.spawn(self.strike(index, fault))
         await self.clients_end()
--- a/rig/realtime.py
+++ b/rig/realtime.py
@@ -10,6 +10,18 @@
     return time.monotonic_ns() // 1000
 
 
+LOOK_US, LATE_US = 50_000, 100_000  # between looks at the own loop; by which one is told of as late
+
+
+async def watch_lag(note: Callable[..., None]) -> None:
+    """Note when the own loop was late: what passed it then says nothing of who is watched."""
+    while True:
+        due = now_us() + LOOK_US
+        await asyncio.sleep(LOOK_US / 1e6)
+        if (late := now_us() - due) > LATE_US:
+            note("stalled", us=late)
+
+
 class RealClock:
     """`model.clock.Clock` on an event loop: `now` goes on by itself."""
 
--- a/tests/test_rig_checks.py
+++ b/tests/test_rig_checks.py
@@ -119,6 +119,8 @@
     [*ask("x", 8 * S, took=400 * MS), *again("x", 8 * S + 100 * MS, server="servers-1"),
      *fault("delay", 7 * S, 9 * S, "doors-servers")],
     [log(8 * S, "takes up a snapshot of 2.5 s ago: 4 customers")],
+    [*LOST[:4], {"at": 11 * S, "kind": "lost", "id": "x"}, {**NONE, "how": "gone", "at": 10 * S},
+     {"at": 9 * S, "kind": "stalled", "us": 600 * MS}],  # the rig itself was late
     [log(8 * S, "request x was left without an answer", "ERROR"), *fault("pause", 6 * S, 8 * S, "doors-0")],
 ])
 def test_what_the_faults_excuse_is_no_violation(records: list[Record]) -> None:
