--- a/rig/play.py
+++ b/rig/play.py
@@ -100,7 +100,7 @@
         if fault.state == "old":
             await self.until(fault.at_s / 2)
             for member in struck:
-                member.copy_state()
+                await asyncio.to_thread(member.copy_state)
         await self.until(fault.at_s)
         self.say(f"{fault.at_s:g} s: {fault.kind} {', '.join(member.name for member in struck)}")
         self.note(index, fault, [member.name for member in struck])
@@ -144,7 +144,7 @@
 
     async def again(self, fault: Fault, member: Member, back_s: float) -> None:
         """Start it once more, with what the fault leaves of its state."""
-        member.lose_state(fault.state)
+        await asyncio.to_thread(member.lose_state, fault.state)  # a slow disk must not hold up the relays
         member.cold, member.clock_s = True, fault.clock_s
         await asyncio.sleep(back_s)
         await self.fleet.start(member)
