Count a home that has been back for a while as any other, and log a lagging list as a warning

Cause: Starts.is_younger holds for as long as a peer lives that restarted after this front door was first asked, and on_peer then kept the lesser of a customer's level and each answer of that home: it could only fall while answers came. Found on rereading; a test fails without the mend.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -195,7 +195,7 @@
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
                 # A home that has lost its memory knows less than what it told before.
-                kept = customer.level if self.starts.is_younger(message.sender) else word.level
+                kept = customer.level if self.starts.has_lost(message.sender, self.now) else word.level
                 customer.heard_us, customer.level = self.now, min(kept, word.level)
                 customer.others = max(0.0, word.demand - customer.own)
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
@@ -224,7 +224,7 @@
     def level_heard(self, customer: Customer, new: bool, sender: int, level: float) -> float:
         """The home's level, by what one of the set holds it to be: the lesser where the home knows nothing,
         and after a restart what somebody knows who was there before."""
-        if customer.blind and not self.starts.is_blind(sender):
+        if customer.blind and self.starts.knows_more(sender, self.now):
             customer.blind = False
             return level
         return min(customer.level, level) if new else customer.level
--- a/fennelwinch/starts.py
+++ b/fennelwinch/starts.py
@@ -70,7 +70,13 @@
         known = self.peers.get(peer)
         return known is not None and self.first_us >= 0 and self.first_us + OLDER_US < known[1]
 
-    def is_blind(self, peer: int) -> bool:
-        """Whether a peer is known to have started no earlier than this gateway, and so knows no more."""
+    def has_lost(self, peer: int, now: int) -> bool:
+        """Whether a peer has restarted since this gateway was first asked, a short while ago: what it held of
+        its customers is gone, and it has not seen much since."""
+        return self.is_younger(peer) and now - self.peers[peer][1] < BACK_US
+
+    def knows_more(self, peer: int, now: int) -> bool:
+        """Whether this gateway has restarted a short while ago, and a peer is not known to have too."""
         known = self.peers.get(peer)
-        return known is not None and known[1] + OLDER_US >= self.first_us
+        older = known is None or known[1] + OLDER_US < self.first_us
+        return self.restarted and older and now - self.first_us < BACK_US
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -107,6 +107,10 @@
         return News(i.ServerList(kind, int(value["generation"]), tuple(servers)), addresses)
 
 
+class StaleError(ValueError):
+    """An address tells an older list than another one has told."""
+
+
 class WatchConnection(asyncio.Protocol):
     """One watch, from its request to the end of its connection."""
 
@@ -129,6 +133,9 @@
             self.http.receive_data(data)
             while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
                 self.take(event)
+        except StaleError as error:
+            log.warning("the watch brings an older list: %s", error)
+            self.close()
         except (h11.ProtocolError, ValueError, KeyError, TypeError, AttributeError) as error:
             log.error("the watch brings what makes no sense: %s", error)
             self.close()
@@ -160,10 +167,6 @@
             self.transport.abort()
 
 
-class StaleError(ValueError):
-    """An address tells an older list than another one has told."""
-
-
 class Source:
     """Discovery, at one address of several: a watch that is kept open, its news handed on as they come."""
 
--- a/molereach/keep.py
+++ b/molereach/keep.py
@@ -17,6 +17,7 @@
 import os
 import random
 import struct
+import threading
 import time
 import zlib
 from dataclasses import replace
@@ -120,6 +121,7 @@
         except OSError as error:
             raise ConfigError(f"the folder {folder} cannot be used: {error.strerror}") from error
         self.failing = False
+        self.writing = threading.Lock()  # the last one is written while the one before it may be on its way
         self.random = random.Random(config.settings.seed)
         self.mark = self.random.getrandbits(32)
         self.starts = self.read_starts()
@@ -193,11 +195,11 @@
     def write(self, snapshot: Snapshot) -> None:
         """Put it in the old one's place, whole or not at all. A failure is told once, until it works."""
         try:
-            with self.fresh.open("wb") as file:
+            with self.writing, self.fresh.open("wb") as file:
                 file.write(pack(snapshot))
                 file.flush()
                 os.fsync(file.fileno())
-            self.fresh.replace(self.path)
+                self.fresh.replace(self.path)
         except OSError as error:
             if not self.failing:
                 log.warning("no snapshot can be written: %s", error.strerror)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -285,7 +285,7 @@
         moved.discovery.source.close()
 
     run(job())
-    assert "version 4 is older than 9" in caplog.text
+    assert "the watch brings an older list: version 4 is older than 9" in caplog.text
     assert "there is but an older list: version 4 after 9" in caplog.text
 
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -121,6 +121,11 @@
     assert customer.level == 2.0
     told(world, 2, i.Word(*key, True, demand=1.0, level=19.0))  # one that was there all the time
     assert customer.level == 19.0
+    # Once it has been back for a while, it is a home like any other: its word holds, also where it is more.
+    customer.level = 2.0
+    world.run(BACK_US)
+    told(world, home, i.Word(*key, True, demand=1.0, level=15.0))
+    assert customer.level == 15.0
 
 
 def test_a_restarted_gateway_learns_of_it_from_its_first_words() -> None:
