End the rig by signals that its loop takes, not by an exception in whatever runs

Seen in one of two runs of the whole suite: SIGTERM to a running rig was lost, and the play went on to its end (tests/test_rig_processes.py). The exception that the handler raised fell into a callback of the loop, which logs such and goes on. play now cancels its own task on SIGTERM and SIGINT.

--- a/rig/play.py
+++ b/rig/play.py
@@ -201,6 +201,9 @@
     plan: Plan, seed: int, tree: Tree, folder: Path, say: Say, more: dict[str, Any] | None = None
 ) -> list[Record]:
     """Run a plan once, in `folder`: its history. What keeps it from being played is a RigError."""
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):  # as an exception it could be lost in a callback
+        loop.add_signal_handler(number, task.cancel)
     fleet = Fleet(plan, seed, tree, folder, more or {})
     offset = offset_us()
     try:
--- a/rig/runs.py
+++ b/rig/runs.py
@@ -39,7 +39,10 @@
     """Play a plan in a folder that is gone afterwards. Ctrl-C ends all processes first."""
     with tempfile.TemporaryDirectory(prefix="rig-") as folder, \
             asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return Seen(runner.run(play(plan, seed, tree, Path(folder), say, more)), plan, seed)
+        try:
+            return Seen(runner.run(play(plan, seed, tree, Path(folder), say, more)), plan, seed)
+        except asyncio.CancelledError:  # by SIGTERM or Ctrl-C, and all processes have ended
+            raise KeyboardInterrupt from None
 
 
 def run(plan: Plan, seed: int, tree: Tree, say: Say, twin: bool = True,
