Let rig back run its plays by the model's runner, and drop what nobody used

rig/back.py had a pool of its own that wrote model/experiment.py's Runner again, without its lock and without waiting for a process that it had to kill. Runner.run is now the one place where a play in a process of its own is started, waited for and ended. rig/runs.py named the exit code of a broken rule a second time; bench/process.py's start_door took a log that no caller gave.

Behaviour is as it was: tests of model commands, bench and plans pass, rig back plays as before and leaves no process on Ctrl-C.

--- a/bench/process.py
+++ b/bench/process.py
@@ -196,9 +196,9 @@
     ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-async def start_door(tree: Tree, config: dict[str, Any], folder: Path, log: Path | None = None) -> Process:
+async def start_door(tree: Tree, config: dict[str, Any], folder: Path) -> Process:
     """A front door, started by the deploy file; it need not serve yet. Its log is added to what is there."""
-    file, log = folder / "config.json", log or folder / "log"
+    file, log = folder / "config.json", folder / "log"
     file.write_text(json.dumps(config))
     env = {name: text for name, text in os.environ.items() if not name.startswith("PROXY_")}
     host, _, port = config["listen"].rpartition(":")
--- a/model/experiment.py
+++ b/model/experiment.py
@@ -12,7 +12,7 @@
 import sys
 import tarfile
 import tempfile
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor, wait
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -60,6 +60,7 @@
     """Makes plays side by side; `stop` ends those that run, and leaves no process."""
 
     jobs: int
+    end_s: float = END_S  # for one to end after SIGTERM
     running: set[subprocess.Popen[bytes]] = field(default_factory=set)
     lock: Lock = field(default_factory=Lock)
     stopped: Event = field(default_factory=Event)
@@ -70,11 +71,16 @@
         words += [word for setting in play.settings for word in ("--set", setting)]
         words += ["--twin"] if play.twin else []
         environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1"}
+        out = self.run(words, play.folder, environment, f"{play.side}, seed {play.seed}")
+        return {**msgspec.json.decode(out), "side": play.side}
+
+    def run(self, words: list[str], folder: Path, environment: Mapping[str, str], name: str) -> bytes:
+        """What a process says on standard output; one that fails is a ModelError with its last line."""
         with self.lock:
             if self.stopped.is_set():
                 raise ModelError("stopped")
             # A group of its own: Ctrl-C is for the parent alone, which then ends its plays in order.
-            process = subprocess.Popen(words, cwd=play.folder, env=environment, stdout=subprocess.PIPE,
+            process = subprocess.Popen(words, cwd=folder, env=environment, stdout=subprocess.PIPE,
                                        stderr=subprocess.PIPE, start_new_session=True)
             self.running.add(process)
         try:
@@ -86,8 +92,8 @@
             raise ModelError("stopped")
         if process.returncode not in (0, BROKEN):
             last = errors.decode(errors="replace").strip().splitlines() or ["it said nothing"]
-            raise ModelError(f"{play.side}, seed {play.seed}: {last[-1]}")
-        return {**msgspec.json.decode(out), "side": play.side}
+            raise ModelError(f"{name}: {last[-1]}")
+        return out
 
     def stop(self) -> None:
         self.stopped.set()
@@ -97,7 +103,7 @@
             process.terminate()
         for process in running:
             try:
-                process.wait(END_S)
+                process.wait(self.end_s)
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -14,9 +14,10 @@
 from model import day as days
 from model.commands import HELP, Group, end_on_signals
 from model.errors import ModelError
+from model.experiment import BROKEN
 from rig.errors import RigError
 from rig.plan import as_scenario, known, load
-from rig.runs import BROKEN_RULE, Run, keep, kept, rows, run, show
+from rig.runs import Run, keep, kept, rows, run, show
 
 MOST_SEED = 2**53
 
@@ -53,7 +54,7 @@
 
 def violated(runs: list[Run]) -> None:
     if any(found.violations for found in runs):
-        sys.exit(BROKEN_RULE)
+        sys.exit(BROKEN)
 
 
 @cli.command("run")
@@ -204,7 +205,7 @@
     for path in found.kept:
         click.echo(str(path))
     if found.kept:
-        sys.exit(BROKEN_RULE)
+        sys.exit(BROKEN)
 
 
 @cli.command()
--- a/rig/back.py
+++ b/rig/back.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import subprocess
+import os
 import sys
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
@@ -16,10 +16,11 @@
 import msgspec
 
 from bench.process import ROOT
+from model.experiment import Runner
 from rig.errors import RigError
 from rig.figures import Figures, figures
 from rig.plan import Plan, dump
-from rig.runs import BROKEN_RULE, Run, kept, median, text
+from rig.runs import Run, kept, median, text
 
 STATES = {"none": ("none", False), "kept": ("kept", True), "stale": ("stale", True)}
 END_S = 20.0  # for a play to end all its processes after SIGTERM
@@ -67,61 +68,31 @@
     return replace(plan, faults=faults, state=kept_)
 
 
-class Pool:
-    """Plays side by side; `stop` ends those that run."""
-
-    def __init__(self, jobs: int, out: Path) -> None:
-        self.pool, self.out = ThreadPoolExecutor(jobs), out
-        self.running: set[subprocess.Popen[bytes]] = set()
-        self.stopped = False
-
-    def play(self, plan: Plan, case: Case) -> Run:
-        folder = self.out / case.name
-        folder.mkdir(parents=True, exist_ok=True)
-        path = folder / "wanted.toml"
-        path.write_text(dump(plan_of(plan, case)))
-        words = [sys.executable, "-m", "rig", "run", str(path), "--seed", str(case.seed), "--no-twin",
-                 "--out", str(folder), "--tree", str(case.tree)]
-        if self.stopped:
-            raise RigError("stopped")
-        process = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
-                                   start_new_session=True)
-        self.running.add(process)
-        try:
-            _, errors = process.communicate()
-        finally:
-            self.running.discard(process)
-        if process.returncode not in (0, BROKEN_RULE):
-            said = errors.decode(errors="replace").strip().splitlines() or ["it said nothing"]
-            raise RigError(f"{case.name}: {said[-1]}")
-        return kept(folder)
-
-    def stop(self) -> None:
-        """End what runs; its own processes go with it."""
-        self.stopped = True
-        running = list(self.running)
-        for process in running:
-            process.terminate()
-        for process in running:
-            try:
-                process.wait(END_S)
-            except subprocess.TimeoutExpired:
-                process.kill()
-        self.pool.shutdown(cancel_futures=True)
+def play(runner: Runner, plan: Plan, case: Case, out: Path) -> Run:
+    """One play in a process of its own, kept in its folder; one that fails is a ModelError."""
+    folder = out / case.name
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / "wanted.toml"
+    path.write_text(dump(plan_of(plan, case)))
+    words = [sys.executable, "-m", "rig", "run", str(path), "--seed", str(case.seed), "--no-twin",
+             "--out", str(folder), "--tree", str(case.tree)]
+    runner.run(words, ROOT, os.environ, case.name)
+    return kept(folder)
 
 
 def measure(plan: Plan, wanted: list[Case], jobs: int, out: Path, say: Callable[[str], None]) -> list[Result]:
     """Make all plays and hold each against its twin. What cannot be played ends all others."""
-    pool = Pool(jobs, out)
+    runner, pool = Runner(jobs, END_S), ThreadPoolExecutor(jobs)
     try:
-        futures = [pool.pool.submit(pool.play, plan, case) for case in wanted]
+        futures = [pool.submit(play, runner, plan, case, out) for case in wanted]
         runs: dict[Case, Run] = {}
         for case, future in zip(wanted, futures, strict=True):
             runs[case] = future.result()
             say(f"{len(runs)} of {len(wanted)}: {case.name}: served {runs[case].figures.served:.3f}, "
                 f"{len(runs[case].violations)} broken")
     finally:
-        pool.stop()
+        runner.stop()
+        pool.shutdown(cancel_futures=True)
     found = []
     for case, run in runs.items():
         twin = runs[Case(case.side, case.tree, 0.0, case.state, case.seed)]
--- a/rig/runs.py
+++ b/rig/runs.py
@@ -19,7 +19,6 @@
 from rig.plan import Plan, dump, load
 from rig.play import Say, play
 
-BROKEN_RULE = 3  # the exit code of a run in which a rule was broken
 HISTORY, CALM, PLAN, RESULT = "history.jsonl", "calm.jsonl", "plan.toml", "result.json"
 
 
