--- a/fennelwinch/base.py
+++ b/fennelwinch/base.py
@@ -31,6 +31,7 @@
         self.servers: list[Backend] = []  # of its attempts, in order
         self.out: dict[int, int] = {}  # attempts out and when each was sent
         self.ran_on: Backend | None = None  # where it may first have run, and since when
+        self.bound: Backend | None = None  # the same, of another gateway's attempts
         self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
         self.unsent = 0  # attempts that never came whole to a server
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -36,6 +36,7 @@
     SPOILT = "spoilt"  # an answer that cannot be read: it ran
     CANCELLED = "cancelled"
     MOOT = "moot"
+    ELSEWHERE = "elsewhere"  # never sent: another gateway has the same work, or had it and kept its outcome
 
 
 class ServerState(Enum):
@@ -173,6 +174,8 @@
     set_first: int = 0
     is_repeat: bool = False
     is_write: bool = False
+    inherited: bool = False  # another gateway has admitted it and taken its units; this one goes on with it
+    bound: str = ""  # of such work: a server that it may have run at
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -30,6 +30,9 @@
 # Results after which the connection is not used again.
 BROKEN = {i.Result.TIMEOUT, i.Result.CANCELLED, i.Result.RESET, i.Result.SPOILT, i.Result.CONNECT_FAILED}
 
+# After which the request never came whole to a server.
+UNSENT = {i.Result.CONNECT_FAILED, i.Result.MOOT, i.Result.ELSEWHERE}
+
 
 class Gateway(Quota):
     """One gateway: `handle` takes an event and gives the actions to carry out, in order."""
@@ -80,14 +83,26 @@
         self.starts.asked(self.now)
         customer = self.customer(key)
         rule = self.set.classes[req.class_index]
-        gone = self.gone_us(req)
+        gone = 0 if req.inherited else self.gone_us(req)
         late = gone + NEEDED_NEW * self.mean_us[req.class_index] >= rule.aim_us
         job = self.jobs[req.id] = Job(req, rule, customer, self.now, 0 if rule.late_worth else gone)
         job.end_by(self.last_us)
         if late and rule.late_worth:
             job.late, job.worth = True, job.worth * rule.late_worth
         if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
-            self.admit(job)
+            (self.inherit if req.inherited else self.admit)(job)
+
+    def inherit(self, job: Job) -> None:
+        """Another gateway has admitted it, and taken its units: it waits for its turn, and goes where it may
+        have run. What may not be repeated and may have run is over."""
+        job.granted_until, job.ran_us = NEVER, self.now
+        job.ran_on = job.bound = self.servers.get(job.req.bound)
+        if job.bound and job.rule.effect is i.Effect.UNSAFE:
+            self.end(job)
+            return
+        self.wanted += 1
+        insort(self.held, (-job.worth, next(self.serial), job))
+        self.release()
 
     def on_draining(self, event: i.Draining) -> None:
         """What is held and cannot be answered in that is refused now, as a later word would serve nobody."""
@@ -274,9 +289,11 @@
         del job.out[event.attempt], server.out[(event.id, event.attempt)]
         server.connections -= event.result in BROKEN and server.connections > 0
         self.learn(job, server, event)
-        job.unsent += event.result in (i.Result.CONNECT_FAILED, i.Result.MOOT)
-        job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
-        job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
+        job.unsent += event.result in UNSENT
+        job.unrun += event.result in (i.Result.FULL, *UNSENT)
+        job.ran_on = job.bound if job.unrun == len(job.servers) else job.ran_on
+        if event.result is i.Result.ELSEWHERE and job.in_quota:  # its units are taken there
+            self.spend(job.customer, -job.req.units)
         if event.over or job.over:
             self.drop(job)
         elif not job.out and not self.again(job, event.result):
@@ -310,7 +327,7 @@
                 self.fleet.add_failure(server.entry.name, self.now, True)
         elif result in (i.Result.SPOILT, i.Result.RESET):
             self.note_broken(server)
-        elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
+        elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT, i.Result.ELSEWHERE):
             if result is not i.Result.OK:
                 nobody = result is i.Result.CONNECT_FAILED
                 self.fleet.add_failure(server.entry.name, self.now, nobody)
--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -78,6 +78,11 @@
     loop.add_signal_handler(signal.SIGUSR1, tell_costs, door)
     if keep:
         keep.recall(door)
+    if config.takeover:
+        from molereach.takeover import Takeover
+
+        door.takeover = Takeover(door, config)
+        working = loop.create_task(door.takeover.run())
     await door.start()
     if config.steward:
         from molereach.allowance import Allowances  # no steward, no packages for it
@@ -94,6 +99,9 @@
     await door.drain()
     if config.steward:
         renewing.cancel()
+    if config.takeover:
+        await door.takeover.close()
+        working.cancel()
     if keep:
         keeping.cancel()
         keep.end(door)
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -37,8 +37,8 @@
 class Attempt:
     """One command for one backend; `done` is called once, with how it ended."""
 
-    __slots__ = ("connection", "done", "end_us", "number", "over", "payload", "pool", "request_id", "sent_us",
-                 "server", "timer", "written", "written_us")
+    __slots__ = ("connection", "done", "end_us", "may_write", "number", "over", "payload", "pool",
+                 "request_id", "sent_us", "server", "timer", "written", "written_us")
 
     def __init__(
         self, request_id: str, number: int, server: str, payload: Callable[[int], bytes], done: Done
@@ -51,6 +51,7 @@
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.pool: Pool | None = None
+        self.may_write: Callable[[], bool] | None = None  # asked just before the write; none: it may
 
     def finish(
         self, result: i.Result, value: bytes | None = None, report: i.LoadReport | None = None
@@ -62,6 +63,12 @@
             self.timer.cancel()
         self.done(self, result, value, report)
 
+    def drop(self) -> None:
+        """Forget it before it was sent; nobody is told."""
+        self.over = True
+        if self.timer:
+            self.timer.cancel()
+
     def cancel(self) -> None:
         """Stop waiting for it."""
         self.give_up(i.Result.CANCELLED)
@@ -164,7 +171,7 @@
     def send(self, attempt: Attempt) -> None:
         assert self.transport is not None
         now = now_us()
-        if attempt.end_us - now < LEAST_LEFT_US:
+        if attempt.end_us - now < LEAST_LEFT_US or (attempt.may_write and not attempt.may_write()):
             self.pool.rest(self)
             attempt.finish(i.Result.MOOT)  # never run, and no fault of the backend's
             return
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -108,7 +108,8 @@
         bursts = [(plan.burst, plan.ceiling_burst) for plan in self.settings.plans]
         self.most_units = [max(1.0, min((b for b in both if b > 0), default=MOST_UNITS)) for both in bursts]
 
-    def parse(self, words: list[bytes]) -> Command:
+    def parse(self, words: list[bytes], own: bool = True) -> Command:
+        """A command; one of another front door's customers where it is not `own`."""
         is_write = words[0] == b"SVC.SUBMIT"
         if not is_write and words[0] != b"SVC.QUERY":
             raise CommandError("unknown command")
@@ -123,7 +124,7 @@
         wait_us = from_text(values.get("d", ""), self.most_us[number])
         if wait_us is None:
             raise CommandError("invalid time")
-        size, first = self.customers_set(values)
+        size, first = self.customers_set(values, own)
         units = self.units(values, plan)
         request = partial(
             i.Request, id=request_id, class_index=number, plan_index=plan, customer=customer, units=units,
@@ -162,12 +163,12 @@
             raise CommandError("invalid units")
         return float(text)
 
-    def customers_set(self, values: dict[str, str]) -> tuple[int, int]:
-        """The customer's front doors, as their number and the first; this one is among them."""
+    def customers_set(self, values: dict[str, str], own: bool) -> tuple[int, int]:
+        """The customer's front doors, as their number and the first; this one is among its own."""
         gateways = self.settings.gateways
         size = whole(values.get("spread", "1"), "spread", 1, gateways)
         first = whole(values.get("first", str(self.settings.me)), "first", 0, gateways - 1)
-        if (self.settings.me - first) % gateways >= size:
+        if own and (self.settings.me - first) % gateways >= size:
             raise CommandError("the set is without this front door")
         return size, first
 
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -24,6 +24,15 @@
     lease_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Takeover:
+    """Who keeps work in hand, so that another door goes on with it: the steward, and for which classes."""
+
+    addresses: tuple[Address, ...]
+    secret: bytes
+    classes: frozenset[int]
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """The front door's own address, whom it talks to, its limits and the module's settings."""
@@ -46,6 +55,7 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     steward: Steward | None = None  # who divides ceilings by leases; none: fixed parts and words
+    takeover: Takeover | None = None  # none: work in hand is lost with its door
     state_dir: str = ""  # where a snapshot is kept for the next start; none: nowhere
     clock_offset_ms: int = 0  # added to the system's time, for tests of clocks that are off
 
@@ -97,18 +107,38 @@
     return value
 
 
-def read_steward(values: object) -> Steward | None:
-    """The part of the file on the steward; the secret is in a file of its own."""
-    if not values:
-        return None
-    if not isinstance(values, dict):
-        raise ConfigError("steward is no object")
+def read_secret(values: Mapping[str, Any]) -> bytes:
+    """What front doors and steward share is in a file of its own."""
     path = path_of(values, "secret_file")
     try:
         with open(path, "rb") as file:
-            secret = file.read().strip()
+            return file.read().strip()
     except OSError as error:
         raise ConfigError(f"cannot read the steward's secret: {error.strerror}") from error
+
+
+def read_takeover(values: object, classes: Mapping[str, int]) -> Takeover | None:
+    """The part of the file on work in hand."""
+    if not values:
+        return None
+    if not isinstance(values, dict):
+        raise ConfigError("takeover is no object")
+    names = values["classes"]
+    if not isinstance(names, list) or not names:
+        raise ConfigError("takeover names no classes")
+    if strange := [name for name in names if name not in classes]:
+        raise ConfigError(f"takeover names a class '{strange[0]}' that is none")
+    return Takeover(read_addresses(values["addresses"]), read_secret(values),
+                    frozenset(classes[name] for name in names))
+
+
+def read_steward(values: object) -> Steward | None:
+    """The part of the file on the steward."""
+    if not values:
+        return None
+    if not isinstance(values, dict):
+        raise ConfigError("steward is no object")
+    secret = read_secret(values)
     lease_ms = int(values.get("lease_ms") or 3000)
     if lease_ms < 500:
         raise ConfigError("the steward's lease_ms is less than 500")
@@ -148,6 +178,7 @@
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=tuple(map(read_address, values.get("peers") or ())),
         steward=steward,
+        takeover=read_takeover(values.get("takeover"), numbers(settings["categories"])),
         state_dir=path_of(values, "state_dir"),
         clock_offset_ms=int(values.get("clock_offset_ms") or 0),
     )
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -11,6 +11,7 @@
 import resource
 from collections.abc import Callable
 from dataclasses import fields, replace
+from typing import TYPE_CHECKING
 
 from fennelwinch import interface as i
 from fennelwinch.rules import Gateway
@@ -22,6 +23,9 @@
 from molereach.discovery import Catalog, Discovery, News
 from molereach.peers import Peers
 
+if TYPE_CHECKING:
+    from molereach.takeover import Nobody, Takeover
+
 log = logging.getLogger(__name__)
 
 BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
@@ -74,6 +78,7 @@
         self.gateway.handle = stages.call(costs.DECISIONS, self.gateway.handle)
         self.run_batch = stages.call(costs.ACTIONS, self.run_batch)
         self.inbox: list[i.Event | Exchange] = []  # an exchange: its request, which is new
+        self.takeover: Takeover | None = None  # where work in hand is kept
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
@@ -162,6 +167,8 @@
         for exchange in list(self.open.values()):
             self.limit(exchange)
         self.post(i.Draining(left))
+        if self.takeover:
+            self.takeover.drain()
         await asyncio.sleep(SETTLE_S)
         self.clients.drain()
         while not await self.clients.left(LAST_WRITES_S):
@@ -206,7 +213,7 @@
         if exchange.timer:
             exchange.timer.cancel()
         delay = (exchange.budget.left_us(now) + BACKSTOP_US) / 1e6
-        exchange.timer = self.loop.call_later(delay, self.overdue, exchange.command.id)
+        exchange.timer = self.loop.call_later(delay, self.overdue, exchange.reply.id)
 
     def post(self, event: i.Event | Exchange) -> None:
         if not self.inbox:
@@ -253,19 +260,32 @@
         command = self.parser.parse(words)
         if command.id in self.open or command.id in self.ended:
             raise CommandError("this id is in use")
-        if len(self.open) >= self.config.max_open or self.held_bytes > self.most_held:
+        if self.is_full():
             raise CommandError("too many requests are open")
         now = now_us()
         budget = Budget.taken(command.wait_us, reply.connection.unread_us(now), now)
         if self.last_us < budget.end_us:
             budget = budget.until(self.last_us, Source.DRAIN)
+        reply.id = command.id
+        self.costs.requests += 1
+        self.post(self.begin(command, reply, budget, now))
+
+    def is_full(self) -> bool:
+        return len(self.open) >= self.config.max_open or self.held_bytes > self.most_held
+
+    def begin(self, command: Command, reply: "Reply | Nobody", budget: Budget, now: int) -> Exchange:
+        """A request is owed an answer, by the id of its reply."""
         exchange = Exchange(command, reply, budget)
         self.back_stop(exchange, now)
-        reply.id = command.id
-        self.open[command.id] = exchange
+        self.open[reply.id] = exchange
         self.held_bytes += command.size + REQUEST_BYTES
-        self.costs.requests += 1
-        self.post(exchange)
+        return exchange
+
+    def exchange(self, command: Command, reply: "Nobody", budget: Budget) -> Exchange | None:
+        """One for work that another front door has taken; none where too much is open here."""
+        if reply.id in self.open or self.is_full():
+            return None
+        return self.begin(command, reply, budget, now_us())
 
     def overdue(self, request_id: str) -> None:
         if request_id in self.open:
@@ -275,6 +295,8 @@
     def client_gone(self, reply: Reply) -> None:
         if reply.id is not None and self.settle(reply.id):
             self.costs.gone += 1
+            if self.takeover:
+                self.takeover.ended(reply.id)
             self.post(i.ClientGone(reply.id))
 
     # --- actions ---
@@ -294,7 +316,11 @@
         self.costs.attempts += 1
         attempt = Attempt(action.id, number, action.server, exchange.command.payload, self.attempt_done)
         exchange.out[number] = attempt
-        self.backends.send(attempt, timeout)
+        if self.takeover and self.takeover.covers(exchange):
+            attempt.wait(timeout)
+            self.takeover.before(exchange, attempt)
+        else:
+            self.backends.send(attempt, timeout)
 
     def attempt_done(
         self, attempt: Attempt, result: i.Result, value: bytes | None, report: i.LoadReport | None
@@ -308,12 +334,16 @@
         else:
             exchange.course.append((attempt.sent_us, attempt.written_us, now))
             if result is i.Result.OK and value is not None:
-                self.costs.served += self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), "was served")
+                data = b"$%d\r\n%b\r\n" % (len(value), value)
+                if not self.takeover or not self.takeover.served(name, data, value):
+                    self.costs.served += self.answer(name, data, "was served")
                 over = True
         if exchange:
             exchange.out.pop(attempt.number, None)
             if over and not exchange.out:
-                del self.ended[name]
+                self.ended.pop(name, None)
+            if self.takeover:
+                self.takeover.noted(name, result, bool(exchange.out))
         took = now - attempt.sent_us
         self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
 
@@ -324,11 +354,15 @@
             attempt.cancel()
 
     def refuse(self, action: i.Refuse) -> None:
+        if self.takeover:
+            self.takeover.ended(action.id, refused=True)
         wait_ms = action.retry_after_us // 1000
         word = b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n"
         self.costs.refused += self.answer(action.id, word, "was refused")
 
     def fail(self, action: i.Fail) -> None:
+        if self.takeover:
+            self.takeover.ended(action.id)
         self.costs.failed += self.answer(action.id, FAILED, "failed")
 
     def answer(self, name: str, data: bytes, how: str) -> bool:
--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -1,10 +1,12 @@
-"""The rig's commands: run, pairs, compare, soak, report and list."""
+"""The rig's commands: run, pairs, back, compare, deaths, soak, report and list."""
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import sys
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any, ClassVar
 
 import click
@@ -15,6 +17,7 @@
 from model.commands import HELP, Group, end_on_signals
 from model.errors import ModelError
 from model.experiment import BROKEN
+from rig.deaths import EFFECTS, POINTS, deaths, table
 from rig.errors import RigError
 from rig.plan import as_scenario, known, load
 from rig.runs import Run, keep, kept, rows, run, show
@@ -208,6 +211,33 @@
         sys.exit(BROKEN)
 
 
+@cli.command("deaths")
+@click.option("--deaths", "count", type=click.IntRange(1, 10_000), default=10, show_default=True,
+              help="At each point, of each kind of class, and seed.")
+@click.option("--points", default=",".join(POINTS), show_default=True, help="Where doors die.")
+@click.option("--seeds", type=click.IntRange(1, 100), default=1, show_default=True)
+@FIRST
+@click.option("--doors", type=click.IntRange(2, 48), default=6, show_default=True)
+@click.option("--without", is_flag=True, help="Nothing is kept: what the same deaths cost without it.")
+def deaths_(count: int, points: str, seeds: int, first: int, doors: int, without: bool) -> None:
+    """Kill doors at chosen points of a piece of work: is it run once, and does its client get its outcome?"""
+    wanted = tuple(points.split(","))
+    if strange := set(wanted) - set(POINTS):
+        raise RigError(f"there is no point '{min(strange)}' (one of: {', '.join(POINTS)})")
+    tree, found = prepare(ROOT), []
+    for seed in range(first, first + seeds):
+        with TemporaryDirectory(prefix="deaths-") as folder:
+            found += asyncio.run(deaths(
+                tree, Path(folder), wanted, EFFECTS, count, seed, doors, not without, say))
+        say(f"seed {seed}: {len(found)} deaths so far")
+    click.echo(table(found))
+    for death in found:
+        if death.wrong:
+            click.echo(f"broken: {death.point}: {death.wrong}")
+    if not without and any(death.wrong for death in found):
+        sys.exit(BROKEN)
+
+
 @cli.command()
 @click.argument("runs", type=click.Path(exists=True, file_okay=False, path_type=Path), nargs=-1,
                 required=True)
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -139,7 +139,7 @@
         self.add("list", 0, 0, self.start_list)
         if plan.follower:
             self.add("follower", 0, 0, self.start_follower)
-        if plan.steward:
+        if plan.has_steward:
             self.add("steward", 0, 0, self.start_steward)
         for number in range(plan.fleet.servers.count):
             self.add("servers", number, number % net.zones, self.start_scan)
@@ -257,12 +257,15 @@
 
     def steward_of(self, door: str) -> dict[str, Any]:
         """What a door is told of the steward, at the relay to it."""
-        if not self.plan.steward:
+        if not self.plan.has_steward:
             return {}
         member = self.members["steward-0"]
         relay = self.relay("doors-steward", door, member.name, member.process.address)
-        return {"steward": {"addresses": text(relay.address), "secret_file": str(member.folder / "secret"),
-                            "lease_ms": LEASE_MS}}
+        told = {"addresses": text(relay.address), "secret_file": str(member.folder / "secret")}
+        found: dict[str, Any] = {"steward": {**told, "lease_ms": LEASE_MS}} if self.plan.steward else {}
+        if self.plan.takeover:
+            found["takeover"] = {**told, "classes": list(self.plan.takeover)}
+        return found
 
     async def start_own(self, member: Member, module: str, **values: Any) -> Process:  # noqa: ANN401
         """One of the rig's own programs."""
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -90,9 +90,14 @@
     follower: bool = True  # a second list service, which every other door reads
     lease_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 3.0
     steward: bool = False  # ceilings are divided by leases; else by fixed parts and words
+    takeover: tuple[str, ...] = ()  # classes of which work in hand is kept by a steward, for another door
     state: bool = False  # doors keep a snapshot (`state_dir`)
     limits: Limits = Limits()
 
+    @property
+    def has_steward(self) -> bool:
+        return self.steward or bool(self.takeover)
+
     @property
     def calm(self) -> Plan:
         """The same load without a fault."""
@@ -117,10 +122,13 @@
     check(fleet, name)
     if fleet.troubles:
         raise RigError(f"{name}: what befalls the fleet stands in faults, not in fleet.troubles")
+    if strange := set(plan.takeover) - {rule.name for rule in fleet.classes}:
+        raise RigError(f"{name}: takeover names a class '{min(strange)}' that is none")
     if fleet.doors > MOST_DOORS or fleet.length_s > MOST_LENGTH_S:
         raise RigError(f"{name}: at most {MOST_DOORS} doors for {MOST_LENGTH_S} s")
     counts: dict[str, Count] = {"doors": fleet.doors, "servers": fleet.servers.count, "clients": plan.clients,
-                                "list": 1, "follower": int(plan.follower), "steward": int(plan.steward)}
+                                "list": 1, "follower": int(plan.follower),
+                                "steward": int(plan.has_steward)}
     for fault in plan.faults:
         if fault.at_s > fleet.length_s:
             raise RigError(f"{name}: {fault.kind} begins after the end")
--- a/steward/__main__.py
+++ b/steward/__main__.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from durable.records import DamageError
+from steward import check_work
 from steward.book import Book, LockedError, begin
 from steward.check import PLANTED, Kind, Outcome, explore, wander
 from steward.config import ConfigError, read
@@ -122,6 +123,11 @@
             found = wander(kind, 2, 1, 20_000, 25, seed)
             missed = missed or not found.broken
             click.echo(f"{kind.name}: {found.broken or 'not found'} after {found.states} states")
+        for kind in check_work.PLANTED:
+            found = check_work.wander(kind, 3, 20_000, 25, seed)
+            said = f"{found.broken or 'not found'} after {found.states} states"
+            missed = missed or not found.broken
+            click.echo(f"work in hand, {kind.name}: {said}")
         sys.exit(FOUND if missed else 0)
     wrong = False
     for held in (False, True):
@@ -135,6 +141,17 @@
         found = wander(Kind(), doors, budgets, walks, 40, seed)
         told(f"random ways: {found.states} states", found)
         wrong = wrong or bool(found.broken)
+    for held in (False, True):
+        began = time.process_time()
+        found = check_work.explore(check_work.Kind(), doors, depth, held)
+        where = "the first door holds all" if held else "nobody has anything"
+        told(f"work in hand, {doors} doors, {where}: {found.states} states to depth {found.depth}, "
+             f"{time.process_time() - began:.1f} s", found)
+        wrong = wrong or bool(found.broken)
+    if walks:
+        found = check_work.wander(check_work.Kind(), doors, 2 * walks, 30, seed)
+        told(f"work in hand, random ways: {found.states} states", found)
+        wrong = wrong or bool(found.broken)
     sys.exit(FOUND if wrong else 0)
 
 
--- a/steward/book.py
+++ b/steward/book.py
@@ -9,15 +9,21 @@
 from __future__ import annotations
 
 import fcntl
+import logging
 import os
 import time
 from collections.abc import Iterable
 from pathlib import Path
 
+import msgspec
+
 from durable.records import DamageError, Records, read_whole, write_whole
 from steward.config import Config
 from steward.state import MOST_LEASE_MS, Issued, State
 from steward.wire import now_ms
+from steward.work import Record, Work
+
+log = logging.getLogger(__name__)
 
 MOST_RECORDS = 50_000  # in the log before a snapshot takes their place: some megabytes
 BOOT = Path("/proc/sys/kernel/random/boot_id")
@@ -41,9 +47,9 @@
     try:
         if book.snapshot_path.exists():
             raise LockedError(f"there is a history in the folder {folder} already")
-        state = book.open(config)
+        state, work = book.open(config)
         state.quiet_until_ms = 0
-        book.snapshot(state)
+        book.snapshot(state, work)
     finally:
         book.close()
 
@@ -62,27 +68,39 @@
             raise LockedError(f"another steward has the folder {folder}") from None
         self.snapshot_path, self.records = folder / "snapshot", Records(folder / "log")
 
-    def open(self, config: Config) -> State:
-        """The state as the log tells it, or a new history."""
+    def open(self, config: Config) -> tuple[State, Work]:
+        """Grants and work in hand as the log tells them, or a new history."""
         now = now_ms()
         (self.folder / "snapshot.new").unlink(missing_ok=True)
         kept = read_whole(self.snapshot_path)
         values = self.records.open()
+        fresh = time.time_ns() // 1_000_000 * PER_MS
         if kept is None:
             if values:
                 raise DamageError(f"{self.snapshot_path} is missing, but there is a log")
-            state = State(time.time_ns() // 1_000_000 * PER_MS, now, MOST_LEASE_MS, config.lease_ms)
-            self.snapshot(state)
-            return state
+            state = State(fresh, now, MOST_LEASE_MS, config.lease_ms)
+            work = Work(fresh, now, config.work_lease_ms)
+            self.snapshot(state, work)
+            return state, work
         try:
             state = State(int(kept["fence"]), now, 0, config.lease_ms)
             same = kept["boot"] == self.boot  # else the clock is another
             state.quiet_until_ms = int(kept["quiet_until_ms"]) if same else now + MOST_LEASE_MS
-            for value in [*kept["issued"], *values]:
-                self.take_up(state, config, value, now)
+            work = Work(max(fresh, int(kept.get("work_fence", 0))), now, config.work_lease_ms)
+            strange = 0
+            for value in [*kept["issued"], *kept.get("work", ()), *values]:
+                if "work" not in value:
+                    self.take_up(state, config, value, now)
+                elif value.pop("boot") == self.boot:
+                    work.apply(msgspec.convert(value, type=Record))
+                else:
+                    strange += 1
         except (KeyError, TypeError, ValueError) as error:
-            raise DamageError(f"{self.folder} holds a record that is no grant: {error!r}") from error
-        return state
+            raise DamageError(f"{self.folder} holds a record that is none of ours: {error!r}") from error
+        if strange:  # the machine has started again since, and every door with it: all of that is over
+            log.warning("%d records of work in hand are of another boot, and are passed over", strange)
+        work.taken_up(now)
+        return state, work
 
     def take_up(self, state: State, config: Config, value: dict[str, object], now: int) -> None:
         """A grant of the log, if it is not over."""
@@ -99,18 +117,22 @@
         return {"budget": budget, "holder": holder, "fence": one.fence, "part": one.part, "units": one.units,
                 "until": one.until_ms, "boot": self.boot}
 
-    def append(self, made: Iterable[tuple[str, str, Issued]]) -> None:
-        """Keep grants, synced; a FullError where that fails."""
-        self.records.append([self.record(*one) for one in made])
+    def work_record(self, record: Record) -> dict[str, object]:
+        return {**msgspec.to_builtins(record), "boot": self.boot}
+
+    def append(self, made: Iterable[tuple[str, str, Issued]], work: Iterable[Record] = ()) -> None:
+        """Keep grants and what became of work, synced; a FullError where that fails."""
+        self.records.append([*(self.record(*one) for one in made), *map(self.work_record, work)])
 
     def due(self) -> bool:
         return self.records.count >= MOST_RECORDS
 
-    def snapshot(self, state: State) -> None:
-        """All that may be believed in, in one file; then the log is emptied."""
+    def snapshot(self, state: State, work: Work) -> None:
+        """All that may be believed in or is in hand, in one file; then the log is emptied."""
         write_whole(self.snapshot_path, {
             "fence": state.fence, "boot": self.boot, "quiet_until_ms": state.quiet_until_ms,
-            "issued": [self.record(*one) for one in state.issued()]})
+            "issued": [self.record(*one) for one in state.issued()],
+            "work_fence": work.fence, "work": [self.work_record(record) for record in work.kept()]})
         self.records.empty()
 
     def close(self) -> None:
--- a/steward/check.py
+++ b/steward/check.py
@@ -13,8 +13,9 @@
 
 import random
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
+from typing import Any, Protocol
 
 from steward.holder import Holder, Part
 from steward.messages import Answer, Ask, Want
@@ -300,14 +301,43 @@
 
 def explore(kind: Kind, doors: int, count: int, depth: int, held: bool) -> Outcome:
     """All states that so many events lead to, nearest first."""
-    first = begin(kind, doors, count, held)
+    return search(begin(kind, doors, count, held), made, broken, depth)
+
+
+def wander(kind: Kind, doors: int, count: int, walks: int, length: int, seed: int) -> Outcome:
+    """Random ways, deeper than all states can be looked at; each from one of the first states."""
+    def first(number: int) -> World:
+        return begin(kind, doors, count, number % 2 == 0)
+
+    return stray(first, made, broken, walks, length, seed)
+
+
+def made(world: World) -> Iterator[tuple[str, Callable[[], World]]]:
+    """Every state that one event leads to, made already."""
+    for event, found in steps(world):
+        yield event, lambda found=found: found
+
+
+class Checked(Protocol):
+    """A state of whatever is checked."""
+
+    def key(self) -> object: ...
+
+
+Steps = Callable[[Any], Iterator[tuple[str, Callable[[], Any]]]]  # each event, and what makes the next state
+Broken = Callable[[Any], str]
+
+
+def search(first: Checked, steps: Steps, broken: Broken, depth: int) -> Outcome:
+    """All states that so many events lead to, nearest first."""
     seen = {first.key()}
-    queue: deque[tuple[World, tuple[str, ...]]] = deque([(first, ())])
+    queue: deque[tuple[Checked, tuple[str, ...]]] = deque([(first, ())])
     while queue:
         world, way = queue.popleft()
         if len(way) == depth:
             continue
-        for event, found in steps(world):
+        for event, make in steps(world):
+            found = make()
             if wrong := broken(found):
                 return Outcome(len(seen), len(way) + 1, wrong, (*way, event))
             key = found.key()
@@ -317,16 +347,17 @@
     return Outcome(len(seen), depth)
 
 
-def wander(kind: Kind, doors: int, count: int, walks: int, length: int, seed: int) -> Outcome:
-    """Random ways, deeper than all states can be looked at; each from one of the first states."""
+def stray(
+    first: Callable[[int], Checked], steps: Steps, broken: Broken, walks: int, length: int, seed: int
+) -> Outcome:
+    """Random ways, each from the first state of its number."""
     chance, states = random.Random(seed), 0
     for number in range(walks):
-        world, way = begin(kind, doors, count, number % 2 == 0), ()
+        world, way = first(number), ()
         for _ in range(length):
-            event, world = chance.choice(list(steps(world)))
+            event, make = chance.choice(list(steps(world)))
+            world = make()
             way, states = (*way, event), states + 1
             if wrong := broken(world):
                 return Outcome(states, len(way), wrong, way)
     return Outcome(states, length)
-
-
--- a/steward/client.py
+++ b/steward/client.py
@@ -24,18 +24,23 @@
 Address = tuple[str, int]
 RENEW_SHARE, JITTER = 1 / 3, 0.25  # of the lease: two renewals may get lost
 HURRY_S = 0.2  # between two renewals at least, also where something new is wanted
-MOST_ANSWER = 1 << 20  # bytes
+MOST_ANSWER = 16 << 20  # bytes: 64 pieces of work of the largest size
+FULL = 507  # the status where nothing can be kept
 
 
 class CallError(Exception):
     """A steward that did not answer as one."""
 
 
+class TurnedAwayError(CallError):
+    """A steward that could not keep what it was asked to."""
+
+
 class Line:
     """One connection to a steward, used for one call after another."""
 
-    def __init__(self, address: Address) -> None:
-        self.address = address
+    def __init__(self, address: Address, path: str = PATH) -> None:
+        self.address, self.path = address, path
         self.http = h11.Connection(h11.CLIENT)
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -45,7 +50,7 @@
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(*self.address)
         host = "{}:{}".format(*self.address)
-        head = h11.Request(method="POST", target=PATH, headers=[
+        head = h11.Request(method="POST", target=self.path, headers=[
             ("Host", host), ("Content-Length", str(len(body))), (SIGNATURE, signature)])
         self.writer.write(self.http.send(head) + self.http.send(h11.Data(data=body))
                           + self.http.send(h11.EndOfMessage()))
@@ -71,6 +76,18 @@
             self.writer.close()
 
 
+async def signed(line: Line, secret: bytes, ask: object) -> bytes:
+    """A call in msgpack, signed both ways: the answer's body. What is turned away is a TurnedAwayError."""
+    body = msgspec.msgpack.encode(ask)
+    status, signature, found = await line.call(body, sign(secret, body))
+    if status != 200:
+        text = found.decode(errors="replace").strip()[:200] or f"status {status}"
+        raise TurnedAwayError(text) if status == FULL else CallError(text)
+    if not hmac.compare_digest(signature, sign(secret, found)):
+        raise CallError("the answer is not signed by the shared secret")
+    return found
+
+
 class Renewer:
     """Keeps a holder's grants alive for as long as it runs."""
 
@@ -130,12 +147,7 @@
         if self.line is None:
             self.line = Line(self.addresses[self.at])
         self.prepare()
-        body = msgspec.msgpack.encode(self.holder.ask(now_ms()))
-        status, signed, found = await self.line.call(body, sign(self.secret, body))
-        if status != 200:
-            raise CallError(found.decode(errors="replace").strip()[:200] or f"status {status}")
-        if not hmac.compare_digest(signed, sign(self.secret, found)):
-            raise CallError("the answer is not signed by the shared secret")
+        found = await signed(self.line, self.secret, self.holder.ask(now_ms()))
         if self.holder.answered(msgspec.msgpack.decode(found, type=Answer), now_ms()):
             self.renewed()
 
--- a/steward/config.py
+++ b/steward/config.py
@@ -4,6 +4,7 @@
 
     doors = 200            # that may exist: each has a floor, kept aside for when it cannot reach the steward
     lease_ms = 3000
+    work_lease_ms = 1000   # after which a door that says nothing has lost the work that it has in hand
 
     [[budgets]]
     name = "ceiling/institution/*"    # one for each name that this fits; a star stands for a part of it
@@ -23,6 +24,7 @@
 
 import msgspec
 
+from steward.messages import WORK_LEASE_MS
 from steward.state import LEASE_MS, LEAST_LEASE_MS, MOST_LEASE_MS, Terms
 
 MOST_NAME = 120  # characters of a budget's name
@@ -53,6 +55,7 @@
     budgets: tuple[Kind, ...]
     doors: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 200
     lease_ms: Annotated[int, msgspec.Meta(ge=LEAST_LEASE_MS, le=MOST_LEASE_MS)] = LEASE_MS
+    work_lease_ms: Annotated[int, msgspec.Meta(ge=LEAST_LEASE_MS, le=MOST_LEASE_MS)] = WORK_LEASE_MS
 
     def terms_of(self, name: str) -> Terms | None:
         """Those of a budget, by the first form that its name fits; None for one that is not set."""
--- a/steward/server.py
+++ b/steward/server.py
@@ -16,14 +16,17 @@
 from durable.records import FullError
 from steward.book import Book
 from steward.config import Config
-from steward.messages import Answer, Ask, holder_of
+from steward.messages import MOST_OPS, Answer, Ask, WorkAnswer, WorkAsk, holder_of
 from steward.state import Issued, RefusedError, State
-from steward.wire import PATH, SIGNATURE, now_ms, sign
+from steward.wire import PATH, SIGNATURE, WORK_PATH, now_ms, sign
+from steward.work import Record, Work
 
 log = logging.getLogger(__name__)
 
 MOST_BODY = 1 << 19  # bytes: 2,000 budgets with names of 120 characters
+MOST_WORK_BODY = 8 << 20  # bytes: 500 ops of some kilobytes, or tens of the largest requests
 TICK_S = 1.0  # between looks at what is over
+LOOK_S = 0.05  # between looks for work that has lost its owner: a twentieth of its lease
 MOST_WAITING = 2000  # asks that wait for the disk: ten from each door of the largest fleet
 
 
@@ -45,16 +48,21 @@
 
     def __init__(self, book: Book, config: Config, secret: bytes) -> None:
         self.book, self.config, self.secret = book, config, secret
-        self.state: State = book.open(config)
-        self.waiting: list[tuple[Ask, asyncio.Future[Answer]]] = []
+        self.state: State
+        self.work: Work
+        self.state, self.work = book.open(config)
+        self.waiting: list[tuple[Ask | WorkAsk, asyncio.Future[Answer | WorkAnswer]]] = []
+        self.unkept: list[Record] = []  # of work, decided on and not in the log: kept before anything is told
         self.woken = asyncio.Event()
         self.commits = self.asks = 0
-        self.app = web.Application(middlewares=[refusals], client_max_size=MOST_BODY)
-        self.app.add_routes([web.post(PATH, self.renew), web.get("/status", self.status)])
+        self.app = web.Application(middlewares=[refusals], client_max_size=MOST_WORK_BODY)
+        self.app.add_routes([web.post(PATH, self.renew), web.post(WORK_PATH, self.do_work),
+                             web.get("/status", self.status), web.get("/parked", self.parked)])
         self.app.cleanup_ctx.append(self.running)
 
     async def running(self, _: web.Application) -> object:
-        tasks = [asyncio.create_task(self.commit()), asyncio.create_task(self.tick())]
+        tasks = [asyncio.create_task(self.commit()), asyncio.create_task(self.tick()),
+                 asyncio.create_task(self.look())]
         yield
         for task in tasks:
             task.cancel()
@@ -67,15 +75,24 @@
             raise web.HTTPForbidden(text="not signed by the shared secret\n")
 
     async def renew(self, request: web.Request) -> web.Response:
+        return await self.answer(request, Ask, MOST_BODY)
+
+    async def do_work(self, request: web.Request) -> web.Response:
+        return await self.answer(request, WorkAsk, MOST_WORK_BODY)
+
+    async def answer(self, request: web.Request, kind: type[Ask | WorkAsk], most: int) -> web.Response:
+        """Take an ask in, and answer once what it has brought about is kept."""
         body = await request.read()
         self.signed(request, body)
         try:
-            ask = msgspec.msgpack.decode(body, type=Ask)
+            if len(body) > most:
+                raise web.HTTPRequestEntityTooLarge(most, len(body))
+            ask = msgspec.msgpack.decode(body, type=kind)
         except msgspec.MsgspecError as error:
             raise RefusedError(f"no ask: {error}") from error
         if len(self.waiting) >= MOST_WAITING:
             return web.Response(status=503, text="too many asks wait\n")
-        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        answer: asyncio.Future[Answer | WorkAnswer] = asyncio.get_running_loop().create_future()
         self.waiting.append((ask, answer))
         self.woken.set()
         said = msgspec.msgpack.encode(await answer)
@@ -83,7 +100,7 @@
                             headers={SIGNATURE: sign(self.secret, said)})
 
     async def commit(self) -> None:
-        """Decide on all asks that wait, keep their grants by one sync, and then answer."""
+        """Decide on all asks that wait, keep what they bring about by one sync, and then answer."""
         loop = asyncio.get_running_loop()
         while True:
             await self.woken.wait()
@@ -97,11 +114,14 @@
                     future.set_exception(error)
                     continue
                 answers.append((future, answer))
-                made += self.grants_of(answer)
+                if isinstance(answer, Answer):
+                    made += self.grants_of(answer)
+            kept, self.unkept = self.unkept, []
             try:
-                await loop.run_in_executor(None, self.book.append, made)
-            except FullError as error:  # in the state they count as given, until they lapse
-                log.error("grants cannot be kept: %s", error)
+                await loop.run_in_executor(None, self.book.append, made, kept)
+            except FullError as error:  # in the state grants count as given, until they lapse
+                log.error("grants and work cannot be kept: %s", error)
+                self.unkept = [*self.work.undo(kept), *self.unkept]
                 for future, _ in answers:
                     if not future.done():
                         future.set_exception(FullError(str(error)))
@@ -110,9 +130,24 @@
             for future, answer in answers:
                 if not future.done():  # its asker may have gone
                     future.set_result(answer)
+            if self.book.due() and not self.unkept:
+                self.snapshot()
 
-    def decide(self, ask: Ask) -> Answer:
+    def snapshot(self) -> None:
+        """Between two commits: nothing is on its way into the log."""
+        try:
+            self.book.snapshot(self.state, self.work)
+        except OSError as error:
+            log.warning("no snapshot can be written: %s", error.strerror)
+
+    def decide(self, ask: Ask | WorkAsk) -> Answer | WorkAnswer:
         now = now_ms()
+        if isinstance(ask, WorkAsk):
+            if len(ask.ops) > MOST_OPS:
+                raise RefusedError(f"an ask has {MOST_OPS} ops at most")
+            answer, records = self.work.ask(ask, now)
+            self.unkept += records
+            return answer
         for want in ask.wants:
             if want.budget not in self.state.budgets and (terms := self.config.terms_of(want.budget)):
                 self.state.set_terms(want.budget, terms, now)
@@ -128,11 +163,14 @@
         while True:
             await asyncio.sleep(TICK_S)
             self.state.lapse(now_ms())
-            if self.book.due():
-                try:
-                    self.book.snapshot(self.state)
-                except OSError as error:
-                    log.warning("no snapshot can be written: %s", error.strerror)
+
+    async def look(self) -> None:
+        """Find what has lost its owner; the next commit keeps that, before anybody is told."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if found := self.work.look(now_ms()):
+                self.unkept += found
+                self.woken.set()
 
     def reload(self, config: Config) -> None:
         """Other terms, from now on; what is granted by the old ones lapses."""
@@ -146,6 +184,15 @@
         now = now_ms()
         held = {name: {"whole": budget.terms.whole, "held": budget.bound, "holders": len(budget.holdings)}
                 for name, budget in self.state.budgets.items()}
+        work = {"intents": len(self.work.intents), "bytes": self.work.bytes, "doors": len(self.work.members),
+                **self.work.counts}
         return web.json_response({
-            "fence": self.state.fence, "quiet_ms": max(0, self.state.quiet_until_ms - now),
+            "work": work, "fence": self.state.fence, "quiet_ms": max(0, self.state.quiet_until_ms - now),
             "asks": self.asks, "commits": self.commits, "budgets": held})
+
+    async def parked(self, request: web.Request) -> web.Response:
+        """Work that has been given up, as it may be what its owners died of, for people to look at."""
+        self.signed(request, request.path.encode())
+        return web.json_response([
+            {"name": one.name, "customer": one.customer, "deaths": one.deaths, "at_ms": one.done_ms,
+             "request": one.request.decode(errors="replace")} for one in self.work.parked])
--- a/steward/wire.py
+++ b/steward/wire.py
@@ -6,7 +6,7 @@
 import hmac
 import time
 
-PATH = "/renew"
+PATH, WORK_PATH = "/renew", "/work"
 SIGNATURE = "X-Signature"
 LEAST_SECRET = 16  # bytes
 
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -68,7 +68,7 @@
     """A folder with some acknowledged grants; the log's size after each."""
     begin(folder, CONFIG)
     book = Book(folder)
-    state = book.open(CONFIG)
+    state, _ = book.open(CONFIG)
     state.set_terms("open", TERMS["open"], now)
     sizes = []
     for serial in range(count):
@@ -91,7 +91,7 @@
     for cut in range(sizes[2], len(whole) + 1):
         (tmp_path / "log").write_bytes(whole[:cut])
         book = Book(tmp_path)
-        state = book.open(CONFIG)
+        state, _ = book.open(CONFIG)
         known = sum(size <= cut for size in sizes)
         assert len(list(state.issued())) == known
         highest = max(one.fence for _, _, one in state.issued())
@@ -113,7 +113,7 @@
         Book(tmp_path).open(CONFIG)
     assert "\n" not in str(caught.value)
     fresh = Book(tmp_path / "other")
-    assert fresh.open(CONFIG).quiet_until_ms == still + MOST_LEASE_MS
+    assert fresh.open(CONFIG)[0].quiet_until_ms == still + MOST_LEASE_MS
     (tmp_path / "third").mkdir()
     (tmp_path / "third" / "log").write_bytes((tmp_path / "log").read_bytes()[: sizes[0]])
     with pytest.raises(DamageError, match="is missing, but there is a log"):
@@ -126,7 +126,7 @@
     grown(tmp_path, still)
     monkeypatch.setattr(books, "boot", lambda: "another")
     book = Book(tmp_path)
-    state = book.open(CONFIG)
+    state, _ = book.open(CONFIG)
     ends = {one.until_ms for _, _, one in state.issued()}
     assert ends == {still + MOST_LEASE_MS} and state.quiet_until_ms == still + MOST_LEASE_MS
     book.close()
@@ -135,15 +135,15 @@
 def test_a_snapshot_takes_the_logs_place_and_one_process_has_a_folder(tmp_path: Path, still: int) -> None:
     grown(tmp_path, still)
     book = Book(tmp_path)
-    state = book.open(CONFIG)
+    state, work = book.open(CONFIG)
     before = sorted(state.issued(), key=lambda one: one[2].fence)
-    book.snapshot(state)
+    book.snapshot(state, work)
     assert (tmp_path / "log").stat().st_size == 0
     with pytest.raises(LockedError, match="another steward"):
         Book(tmp_path)
     book.close()
     again = Book(tmp_path)
-    assert sorted(again.open(CONFIG).issued(), key=lambda one: one[2].fence) == before
+    assert sorted(again.open(CONFIG)[0].issued(), key=lambda one: one[2].fence) == before
     again.close()
     with pytest.raises(LockedError, match="there is a history"):
         begin(tmp_path, CONFIG)
@@ -154,7 +154,7 @@
 ) -> None:
     sizes = grown(tmp_path, still)
     book = Book(tmp_path)
-    state = book.open(CONFIG)
+    state, _ = book.open(CONFIG)
 
     def full(file: int) -> None:
         raise OSError(28, "No space left on device")
@@ -382,4 +382,4 @@
 def test_the_check_is_a_command() -> None:
     done = subprocess.run([sys.executable, "-m", "steward", "check", "--doors", "2", "--depth", "3",
                            "--walks", "2"], cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
-    assert done.returncode == 0 and done.stdout.count("states to depth 3") == 2
+    assert done.returncode == 0 and done.stdout.count("states to depth 3") == 4
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,191 @@
+"""Several real front doors and a steward: doors die at chosen points of a piece of work."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from bench.process import ROOT, Tree
+from rig.checks import Seen, check
+from rig.deaths import EFFECTS, LEASE_MS, POINTS, Death, Deaths, deaths, table
+from rig.plan import load
+from rig.runs import play_once
+
+HERE = Tree(ROOT, f"exec {sys.executable} -m molereach", tells_costs=True)
+
+
+@pytest.fixture(scope="module")
+def died(tmp_path_factory: pytest.TempPathFactory) -> list[Death]:
+    return asyncio.run(deaths(HERE, tmp_path_factory.mktemp("deaths"), POINTS, EFFECTS, 1, 1, 6))
+
+
+@pytest.mark.parametrize("point", POINTS)
+def test_work_is_run_once_wherever_its_door_dies(died: list[Death], point: str) -> None:
+    there = {death.effect: death for death in died if death.point == point}
+    assert set(there) == set(EFFECTS)
+    for death in there.values():
+        assert death.reached and not death.wrong, death
+    assert there["keyed"].last == "served" and len(there["keyed"].ran) == 1
+    assert len(there["unsafe"].ran) == int(point in POINTS[3:])
+
+
+def test_a_violation_is_told() -> None:
+    twice = Death(POINTS[3], "unsafe", "k", 0, reached=True, ran=[0, 0])
+    halls = Death(POINTS[3], "keyed", "k", 0, reached=True, ran=[0, 1], last="served")
+    lost = Death(POINTS[5], "keyed", "k", 0, reached=True, ran=[0], last="failed")
+    assert "2 times" in twice.wrong and "2 halls" in halls.wrong and "was kept" in lost.wrong
+    assert not Death(POINTS[3], "keyed", "k", 0, reached=True, ran=[0], last="served").wrong
+    assert "| after the write | keyed | 1 | 0 | 0 | 1 | 1 | 1 |" in table([halls])
+
+
+# --- hard cases ---
+
+BODY = b"b" * 256
+COUNT = 8  # pieces of work at once: two at each door, which the cap lets out
+LONG_S = 8.0  # for an answer: past a lease, a takeover and the client's own time
+
+
+def fleet(folder: Path, act: Callable[[Deaths], Awaitable[None]], doors: int = 4) -> Deaths:
+    """Some doors and a steward while `act` lasts."""
+    found = Deaths(HERE, folder, 1, doors, True)
+
+    async def run() -> None:
+        async with found.running():
+            await act(found)
+
+    asyncio.run(run())
+    return found
+
+
+async def until(holds: Callable[[], object]) -> None:
+    """Wait for what has to come; the test's own time-out is the bound."""
+    async with asyncio.timeout(LONG_S):
+        while not holds():
+            await asyncio.sleep(0.02)
+
+
+def test_an_owner_that_was_paused_past_its_lease_answers_nothing_and_runs_nothing(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        found.held.add("k")
+        first = asyncio.create_task(found.ask(0, found.submit("keyed", "k", "a1", BODY), LONG_S))
+        await until(lambda: found.came["k"])
+        found.doors[0].process.send_signal(signal.SIGSTOP)
+        found.held.clear()
+        assert await found.ask(1, found.submit("keyed", "k", "a2", BODY), LONG_S) == "served"
+        found.doors[0].process.send_signal(signal.SIGCONT)
+        assert await first == "failed"
+
+    found = fleet(tmp_path, act)
+    assert found.ran["k"] == found.ran["k"][:1] and found.said(0, "no longer this door's")
+    assert {hall for _, hall in found.came["k"]} == set(found.ran["k"])
+    assert 0 not in [door for door, _ in found.came["k"][1:]]
+
+
+def test_what_its_doors_die_of_stops_after_the_second(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        found.poison.add("k")
+        assert await found.ask(0, found.submit("keyed", "k", "a1", BODY, 4000), LONG_S) == "closed"
+        await until(lambda: len(found.came["k"]) == 2)
+        await asyncio.sleep(1.5 * LEASE_MS / 1000)
+        alive = next(n for n, door in enumerate(found.doors) if door.process.returncode is None)
+        assert await found.ask(alive, found.submit("keyed", "k", "a2", BODY), LONG_S) == "failed"
+
+    found = fleet(tmp_path, act)
+    assert len(found.came["k"]) == 2 and not found.ran["k"]
+
+
+def test_a_door_that_is_cut_off_from_the_steward_lets_go_and_another_goes_on(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        found.held.add("k")
+        first = asyncio.create_task(found.ask(0, found.submit("keyed", "k", "a1", BODY), LONG_S))
+        await until(lambda: found.came["k"])
+        found.cut.add(0)
+        found.held.clear()
+        assert await found.ask(1, found.submit("keyed", "k", "a2", BODY), LONG_S) == "served"
+        assert await first == "failed"
+        # It goes on serving, with nothing kept.
+        assert await found.ask(0, found.submit("keyed", "other", "a3", BODY), LONG_S) == "served"
+
+    found = fleet(tmp_path, act)
+    assert len(found.ran["k"]) == 1 and len({hall for _, hall in found.came["k"]}) == 1
+
+
+def test_one_key_at_two_doors_at_once_runs_once_and_both_clients_get_it(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        same = [found.ask(door, found.submit("keyed", "k", f"a{door}", BODY), LONG_S) for door in range(4)]
+        assert await asyncio.gather(*same) == ["served"] * 4
+        # And twice at one door.
+        twice = [found.ask(0, found.submit("keyed", "j", f"b{n}", BODY), LONG_S) for n in range(2)]
+        assert await asyncio.gather(*twice) == ["served"] * 2
+        other = found.submit("keyed", "k", "c1", b"another body")
+        assert await found.ask(2, other, LONG_S) == "failed"
+
+    found = fleet(tmp_path, act)
+    assert len(found.came["k"]) == 1 and len(found.came["j"]) == 1
+
+
+def test_work_goes_on_while_the_steward_is_away_and_its_log_is_taken_up(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        assert await found.ask(0, found.submit("keyed", "k", "a1", BODY), LONG_S) == "served"
+        found.steward.kill()
+        await found.steward.process.wait()
+        await until(lambda: all(found.said(door, "no word of the steward") for door in range(4)))
+        assert await found.ask(1, found.submit("keyed", "j", "a2", BODY), LONG_S) == "served"
+        known = [found.said(door) for door in range(4)]
+        await found.start_steward()
+        await until(lambda: all(found.said(door) > known[door] for door in range(4)))
+        assert await found.ask(2, found.submit("keyed", "k", "a3", BODY), LONG_S) == "served"
+
+    found = fleet(tmp_path, act)
+    assert len(found.came["k"]) == 1 and len(found.came["j"]) == 1
+
+
+def test_all_doors_at_once_with_work_in_hand_take_up_what_is_still_in_time(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        keys = [f"k{n}" for n in range(COUNT)]
+        found.held.update(keys)
+        asked = [found.ask(n % 4, found.submit("keyed", key, f"a{key}", BODY, 4000), LONG_S)
+                 for n, key in enumerate(keys)]
+        first = [asyncio.create_task(one) for one in asked]
+        await until(lambda: all(found.came[key] for key in keys))
+        for process in found.doors:
+            process.kill()
+        assert await asyncio.gather(*first) == ["closed"] * COUNT
+        found.held.clear()
+        await asyncio.gather(*(found.start_door(door) for door in range(4)))
+        again = [found.ask(n % 3, found.submit("keyed", key, f"b{key}", BODY), LONG_S)
+                 for n, key in enumerate(keys)]
+        assert set(await asyncio.gather(*again)) == {"served"}
+
+    found = fleet(tmp_path, act)
+    assert all(len(found.ran[f"k{n}"]) == 1 for n in range(COUNT))
+    assert all(len({hall for _, hall in found.came[f"k{n}"]}) == 1 for n in range(COUNT))
+
+
+def test_a_drain_hands_over_what_it_will_not_see_the_end_of(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        found.held.add("k")
+        first = asyncio.create_task(found.ask(0, found.submit("keyed", "k", "a1", BODY, 8000), LONG_S))
+        await until(lambda: found.came["k"])
+        found.doors[0].process.send_signal(signal.SIGTERM)
+        assert await first == "refused"
+        found.held.clear()
+        assert await found.ask(1, found.submit("keyed", "k", "a2", BODY), LONG_S) == "served"
+        assert await found.doors[0].process.wait() == 0
+
+    found = fleet(tmp_path, act)
+    assert len(found.ran["k"]) == 1 and found.said(0, "left 1")
+
+
+@pytest.fixture(scope="module")
+def played() -> Seen:
+    return play_once(load("takeover"), 1, HERE, lambda text: None)
+
+
+def test_doors_are_killed_paused_and_drained_and_keep_the_rules(played: Seen) -> None:
+    assert check(played) == []
+    said = [record["text"] for record in played.by["door"]]
+    assert any(text.startswith("work in hand: ") and "begun 0" not in text for text in said)
