--- a/rig/plan.py
+++ b/rig/plan.py
@@ -21,10 +21,10 @@
 Who = Literal["doors", "servers", "list", "follower", "steward", "clients"]
 Link = Literal["clients-doors", "doors-servers", "doors-doors", "doors-list", "doors-follower",
                "doors-steward", "servers-list", "follower-list"]
-ON_PROCESSES = ("kill", "term", "pause", "full_disk")
+ON_PROCESSES = ("kill", "term", "pause", "full_disk", "move")
 ON_SERVERS = ("bad", "errors_fast", "slow", "replace")
 ON_LINKS = ("cut", "hold", "delay", "lose", "repeat", "reorder", "limit", "break")
-Kind = Literal["kill", "term", "pause", "full_disk", "bad", "errors_fast", "slow", "replace", "burst",
+Kind = Literal["kill", "term", "pause", "full_disk", "move", "bad", "errors_fast", "slow", "replace", "burst",
                "cut", "hold", "delay", "lose", "repeat", "reorder", "limit", "break"]
 MOST_DOORS = 200  # a loopback address for each; the largest fleet of the operators
 MOST_LENGTH_S = 600
@@ -38,7 +38,8 @@
     (SIGKILL), `term` (SIGTERM), `pause` (SIGSTOP for `for_s`), `full_disk` for `for_s`. Killed and ended ones
     are started again after a time from `back_s`, with `state`: what they stored (`kept`), nothing (`none`),
     an `old` copy (half of the time up to the fault old), a `stale` snapshot (of doors, an hour old), or a
-    `damaged` one; their clock is then `clock_s` off. `stagger_s` spreads the strikes evenly over that time;
+    `damaged` one; their clock is then `clock_s` off. `move` (doors): a new configuration and SIGHUP, with the
+    other list service alone. `stagger_s` spreads the strikes evenly over that time;
     `times` strikes the same ones again, each time once they serve.
     On scan servers: `bad` (a `size` of answers are errors), `errors_fast` (at once), `slow` (`size` times),
     `replace` (they drain and leave over `for_s`, cold ones come).
--- a/rig/play.py
+++ b/rig/play.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from bench.process import Tree
 from model.clock import S
 from rig.errors import RigError
@@ -125,8 +127,9 @@
     async def strike_one(self, fault: Fault, member: Member, after_s: float, back_s: float) -> None:
         await asyncio.sleep(after_s)
         for _ in range(fault.times):
-            await {"kill": self.kill, "term": self.term, "pause": self.pause, "full_disk": self.full_disk,
-                   "replace": self.replace}.get(fault.kind, self.serve_badly)(fault, member, back_s)
+            act = {"kill": self.kill, "term": self.term, "pause": self.pause, "full_disk": self.full_disk,
+                   "move": self.move, "replace": self.replace}.get(fault.kind, self.serve_badly)
+            await act(fault, member, back_s)
 
     async def kill(self, fault: Fault, member: Member, back_s: float) -> None:
         self.fleet.kill(member)
@@ -155,6 +158,13 @@
         member.send(signal.SIGCONT)
         self.fleet.writer.note("woke", who=member.name)
 
+    async def move(self, fault: Fault, member: Member, back_s: float) -> None:
+        """The list service that it asks second becomes the only one that it is told of."""
+        path = member.folder / "config.json"
+        config = msgspec.json.decode(path.read_bytes())
+        path.write_bytes(msgspec.json.encode({**config, "discovery": config["discovery"].split(",")[-1]}))
+        member.send(signal.SIGHUP)
+
     async def full_disk(self, fault: Fault, member: Member, back_s: float) -> None:
         member.fill_disk(True)
         await asyncio.sleep(fault.for_s)
