Bound what one ask on work in hand holds, and hand all over before a door closes

Found on rereading: an ask of 500 ops with bodies of 64 KiB was more than the steward takes, and would have been sent again for ever; a request that waits for another door's outcome had no end of its own when the steward went away; work that was handed to a door that drains was not waited for. Each is bounded now, asks in ops, begins and bytes; a test holds the bounds.

--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -175,6 +175,8 @@
             if not self.open:  # a request may still come on a connection that has had none
                 log.warning("%d clients stay without a request", len(self.clients.connections))
                 break
+        if self.takeover:  # what another door's clients wait for
+            self.takeover.hand_all_over()
         self.close()
 
     def close(self) -> None:
@@ -267,7 +269,6 @@
         if self.last_us < budget.end_us:
             budget = budget.until(self.last_us, Source.DRAIN)
         reply.id = command.id
-        self.costs.requests += 1
         self.post(self.begin(command, reply, budget, now))
 
     def is_full(self) -> bool:
@@ -279,6 +280,7 @@
         self.back_stop(exchange, now)
         self.open[reply.id] = exchange
         self.held_bytes += command.size + REQUEST_BYTES
+        self.costs.requests += 1
         return exchange
 
     def exchange(self, command: Command, reply: "Nobody", budget: Budget) -> Exchange | None:
--- a/molereach/takeover.py
+++ b/molereach/takeover.py
@@ -128,7 +128,9 @@
         try:
             while True:
                 await self.call()
-                if not self.hand.queue or self.away:
+                if self.away:  # a steward that comes back is not met by all doors at once
+                    await asyncio.sleep(ASK_S * self.random.uniform(0.25, 1))
+                elif not self.hand.queue:
                     wait = ASK_S * self.random.uniform(0.75, 1)
                     with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(self.wanting.wait(), wait)
@@ -197,8 +199,7 @@
             await asyncio.sleep(LOOK_S)
             self.check()
             if self.door.last_us - now_us() < LATE_S * 1e6:
-                for piece in list(self.pieces.values()):
-                    self.hand_over(piece)
+                self.hand_all_over()
 
     def check(self) -> None:
         for name in self.hand.lapsed(now_ms()):
@@ -271,20 +272,17 @@
         if not self.put(op):
             self.go_without(piece)
             return
-        self.after(piece, KEEP_WAIT_S, self.unkept, piece, op)
+        self.after(piece, KEEP_WAIT_S, self.unkept, piece)
 
     def after(self, piece: Piece, wait_s: float, act: Callable[..., None], *words: object) -> None:
         if piece.timer:
             piece.timer.cancel()
         piece.timer = self.loop.call_later(wait_s, act, *words)
 
-    def unkept(self, piece: Piece, op: Op) -> None:
+    def unkept(self, piece: Piece) -> None:
         """No word of an attempt: it is not made. Whoever asks again finds it free, or how it ended."""
         self.away = True
-        if isinstance(op, Begin):
-            self.hand.withdraw(op.name)
-            self.by_name.pop(piece.name, None)
-            piece.begin = None
+        self.withdraw(piece)
         if (attempt := piece.attempt) is not None:
             piece.attempt = None
             attempt.finish(i.Result.MOOT)
@@ -295,6 +293,8 @@
         if piece is None or piece.begin is not op:
             return
         piece.begin = None
+        if piece.timer:
+            piece.timer.cancel()
         if told.how == "kept":
             self.counts.begun += 1
             piece.fence, piece.ran, piece.number = told.fence, bool(told.server), 0
@@ -417,8 +417,7 @@
         piece = self.pieces.get(name)
         if piece is None or piece.over:
             return
-        if piece.begin is not None:
-            self.hand.withdraw(piece.name)
+        self.withdraw(piece)
         draining = self.door.last_us <= piece.exchange.budget.end_us
         on = refused and (piece.is_handed or draining)
         self.counts.left += self.holds(piece)
@@ -426,6 +425,10 @@
         self.wanting.set()
         self.forget(piece)
 
+    def hand_all_over(self) -> None:
+        for piece in list(self.pieces.values()):
+            self.hand_over(piece)
+
     def hand_over(self, piece: Piece) -> None:
         """A drain will not see its end: another goes on with it, and its client is told to ask again."""
         if piece.over or piece.data is not None or not self.holds(piece):
@@ -474,13 +477,26 @@
         fresh = msgspec.structs.replace(begin, left_ms=left_ms)
         if (other is None or other is piece) and not self.away and self.put(fresh):
             self.by_name[piece.name], piece.begin = piece, fresh
+            self.after(piece, KEEP_WAIT_S, self.unheard, piece, fresh)
         else:
             self.wait(piece, fresh)
 
-    def refuse(self, piece: Piece) -> None:
-        """It cannot wait longer: its client is told when to come back."""
+    def unheard(self, piece: Piece, begin: Begin) -> None:
+        """No word of whether another has it: it goes on waiting."""
+        self.withdraw(piece)
+        self.wait(piece, begin)
+
+    def withdraw(self, piece: Piece) -> None:
+        """Take back what is told of and not answered."""
         if piece.begin is not None:
             self.hand.withdraw(piece.name)
+            piece.begin = None
+            if self.by_name.get(piece.name) is piece:
+                del self.by_name[piece.name]
+
+    def refuse(self, piece: Piece) -> None:
+        """It cannot wait longer: its client is told when to come back."""
+        self.withdraw(piece)
         name = piece.exchange.reply.id
         self.forget(piece)
         self.door.refuse(i.Refuse(name, WORK_LEASE_MS * 1000))
--- a/steward/hand.py
+++ b/steward/hand.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
-from steward.messages import MOST_OPS, Begin, Handed, Leave, Op, Told, WorkAnswer, WorkAsk
+from steward.messages import MOST_OPS, Begin, Done, Handed, Leave, Op, Told, WorkAnswer, WorkAsk
 from steward.state import MARGIN_SHARE
 
 # Between the look at the clock and the last byte's way into the kernel: a turn of the loop on a busy machine.
 WRITE_MARGIN_MS = 50
 MOST_QUEUED = 4 * MOST_OPS  # ops that wait for the steward: past it work goes on without
+MOST_ASK_BYTES = 4 << 20  # of requests and values in one ask: half of what a steward takes
+MOST_BEGINS = 64  # in one ask, as each may be answered by a kept value of 128 KiB
 
 
 class Hand:
@@ -25,7 +27,7 @@
         self.queue: list[Op] = []
         self.asked: tuple[int, int, list[Op]] | None = None  # serial, when, and ops of the ask that is out
         self.took: list[int] = []  # fences of handed work, to be told of having come
-        self.taken: set[int] = set()  # all of them: what is told again is known
+        self.taken: set[int] = set()  # the same, of the last answer: what is told again is known
         self.withdrawn: set[str] = set()  # begun, and given up on before there was an answer
         self.leaving = False
 
@@ -77,11 +79,22 @@
     def ask(self, now_ms: int) -> WorkAsk:
         """The next ask, with the ops that wait; one is out at a time."""
         self.serial += 1
-        ops, self.queue = self.queue[:MOST_OPS], self.queue[MOST_OPS:]
+        count = self.fitting()
+        ops, self.queue = self.queue[:count], self.queue[count:]
         self.asked = self.serial, now_ms, ops
         return WorkAsk(door=self.door, mark=self.mark, serial=self.serial, ops=tuple(ops),
                        took=tuple(self.took), leaving=self.leaving)
 
+    def fitting(self) -> int:
+        """How many of the ops that wait go into one ask: one at least."""
+        size = begins = 0
+        for count, op in enumerate(self.queue[:MOST_OPS]):
+            size += len(op.request) if isinstance(op, Begin) else len(op.value) if isinstance(op, Done) else 0
+            begins += isinstance(op, Begin)
+            if count and (size > MOST_ASK_BYTES or begins > MOST_BEGINS):
+                return count
+        return min(MOST_OPS, len(self.queue))
+
     def unanswered(self) -> None:
         """The ask that was out got no answer: its ops go again, each of which may be told twice."""
         if self.asked is not None:
@@ -116,8 +129,8 @@
         if not self.is_alive(now_ms):  # too late to begin anything by it
             return told, []
         fresh = [handed for handed in answer.handed if handed.fence not in self.taken]
+        self.taken = set(self.took)  # what is not told again any more never comes again
         for handed in fresh:
-            self.taken.add(handed.fence)
             self.held[handed.name] = handed.fence
         return told, fresh
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -12,7 +12,7 @@
 from steward import check_work, work
 from steward.book import Book, begin
 from steward.config import Config
-from steward.hand import WRITE_MARGIN_MS, Hand
+from steward.hand import MOST_ASK_BYTES, MOST_BEGINS, WRITE_MARGIN_MS, Hand
 from steward.messages import (
     MOST_OPS,
     WORK_LEASE_MS,
@@ -239,7 +239,8 @@
         fleet.hands[number % 20].add(intent(f"c{number % 50}/{number}", customer=f"c{number % 50}",
                                             left_ms=60_000, window_ms=60_000))
     for door in range(20):
-        assert {one.how for one in fleet.ask(door)[0]} == {"kept"}
+        while fleet.hands[door].queue:
+            assert {one.how for one in fleet.ask(door)[0]} == {"kept"}
     took: dict[str, int] = {}
     for _ in range(40):
         fleet.now += 100
@@ -332,6 +333,18 @@
     assert sum(hand.add(intent(str(n))) for n in range(5 * MOST_OPS)) < 5 * MOST_OPS  # bounded
 
 
+def test_an_ask_is_bounded_in_ops_and_bytes_and_the_rest_goes_with_the_next() -> None:
+    hand = Hand(5, 1)
+    for number in range(2 * MOST_BEGINS):
+        hand.add(intent(str(number)))
+    hand.add(Done(name="large", fence=1, value=b"x" * MOST_ASK_BYTES))
+    hand.add(Done(name="other", fence=1, value=b"x" * MOST_ASK_BYTES))
+    asked = []
+    while hand.queue:
+        asked.append([op.name for op in hand.ask(START).ops])
+    assert [len(names) for names in asked] == [MOST_BEGINS, MOST_BEGINS, 1, 1]
+
+
 # --- the log ---
 
 
