Do not tell a list that began with nothing until scan servers can have registered

Excluded: the front door's side, which may not tell a fault from an order (roster/server.py, Service.read, told whatever there was).

Change: a service whose folder held nothing answers reads with 503 for `--fill` seconds (5: a third of the usual lease and more); doors and followers go by what they have.

--- a/bench/lists.py
+++ b/bench/lists.py
@@ -83,7 +83,8 @@
 async def service(folder: Path, port: int) -> AsyncIterator[Process]:
     """A list service as a process of its own; it ends with the block."""
     process, _ = await start_program(
-        ("-m", "roster", "--data", str(folder / "list"), "--listen", f"{HOST}:{port}"), folder / "log.txt")
+        ("-m", "roster", "--data", str(folder / "list"), "--listen", f"{HOST}:{port}", "--fill", "0"),
+        folder / "log.txt")
     try:
         yield process
     finally:
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -227,8 +227,9 @@
         return text((f"{self.prefix}.{SERVICES[member.kind]}", 0))
 
     async def start_list(self, member: Member) -> Process:
-        words = ("-m", "roster", "--data", str(member.state), "--listen",
-                 self.listen(member))
+        words = ("-m", "roster", "--data", str(member.state), "--listen", self.listen(member))
+        if member.process is None:  # a first start: doors come once scan servers have registered
+            words = (*words, "--fill", "0")
         process, _ = await start_program(words, member.folder / "log")
         return process
 
--- a/roster/__main__.py
+++ b/roster/__main__.py
@@ -19,6 +19,8 @@
 
 SHUTDOWN_S = 3.0  # that what is being answered may take after SIGTERM
 MOST_HEADERS = 8190  # bytes of one header line
+# A third of the usual lease, at which scan servers renew and so find that they have been forgotten, and more.
+FILL_S = 5.0
 
 
 async def serve(service: Callable[[], Reader], host: str, port: int) -> None:
@@ -52,14 +54,16 @@
 @click.option("--follow", metavar="HOST:PORT", help="Serve the list of another, for reading only.")
 @click.option("--listen", default="127.0.0.1:8500", show_default=True, metavar="HOST:PORT",
               help="Port 0: one that the system chooses.")
-def main(data: Path | None, follow: str | None, listen: str) -> None:
+@click.option("--fill", type=click.FloatRange(0, 600), default=FILL_S, show_default=True,
+              help="Seconds in which a list that began with nothing is filled, and not told.")
+def main(data: Path | None, follow: str | None, listen: str, fill: float) -> None:
     """The list of scan servers: registered with leases, read whole or by a watch."""
     host, port = split(listen)
     if (data is None) == (follow is None):
         raise click.UsageError("one of --data and --follow is wanted")
     if follow is not None:
         split(follow)
-    service = (lambda: Service(data)) if data is not None else (lambda: Follower(follow))
+    service = (lambda: Service(data, fill)) if data is not None else (lambda: Follower(follow))
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         asyncio.run(serve(service, host, port))
--- a/roster/log.py
+++ b/roster/log.py
@@ -26,6 +26,14 @@
         self.folder = folder
         self.snapshot_path = folder / "snapshot"
         self.records = Records(folder / "log")
+        self.filling_path = folder / "filling"
+
+    def is_filling(self) -> bool:
+        """Whether the history began with nothing, and may not hold yet what is there."""
+        return self.filling_path.exists()
+
+    def filled(self) -> None:
+        self.filling_path.unlink(missing_ok=True)
 
     def open(self, unix_ms: int, now_ms: int) -> Store:
         """The store as it was left, or a new history where there is nothing. Leases get the grace."""
@@ -41,6 +49,7 @@
             if instance.generation > store.generation:  # older ones: a crash came between snapshot and log
                 store.apply(instance)
         if not self.snapshot_path.exists():
+            self.filling_path.touch()
             self.snapshot(store)  # a new history has to be the same one after the next crash
         store.keep = self.append
         store.away(now_ms, "the service has started")
--- a/roster/server.py
+++ b/roster/server.py
@@ -171,10 +171,13 @@
 class Service(Reader):
     """The first one: it takes writes, and has the list, its leases and its log."""
 
-    def __init__(self, folder: Path) -> None:
-        """Reads the folder; a DamageError where it cannot be trusted."""
+    def __init__(self, folder: Path, fill_s: float = 0.0) -> None:
+        """Reads the folder; a DamageError where it cannot be trusted. A list that began with nothing is not
+        told for `fill_s`: scan servers that are there register meanwhile, and an empty list would be taken
+        for all of them gone."""
         self.log = Log(folder)
         self.store: Store = self.log.open(time.time_ns() // 1_000_000, now_ms())
+        self.filled_ms = now_ms() + round(fill_s * 1000)
         super().__init__(self.store)
         self.app.add_routes([
             web.put(WRITE_PATH, self.register), web.post(f"{WRITE_PATH}/renew", self.renew),
@@ -182,6 +185,13 @@
         ])
         self.app.cleanup_ctx.append(self.running)
 
+    def ready(self) -> None:
+        if self.log.is_filling():
+            left_ms = self.filled_ms - now_ms()
+            if left_ms > 0:
+                raise UnavailableError(f"the list began with nothing, and is told in {left_ms / 1000:.1f} s")
+            self.log.filled()
+
     async def running(self, _: web.Application) -> Any:  # noqa: ANN401 - aiohttp's context
         ticking = asyncio.create_task(self.tick())
         yield
--- a/tests/test_rig_lists.py
+++ b/tests/test_rig_lists.py
@@ -51,6 +51,7 @@
         before = max(record["generation"] for record in told if record["at"] < killed)
         after = [record for record in told if record["at"] > killed]
         assert after[0]["whole"] and min(record["generation"] for record in after) > before
+        assert len(after[0]["servers"]) == 6  # none is missing that is there
         named = {name for record in after for name, state in record["servers"].items() if state == "SERVING"}
         assert named == {f"servers-{number}" for number in range(7)}
 
--- a/tests/test_roster_server.py
+++ b/tests/test_roster_server.py
@@ -219,8 +219,8 @@
 
 def started(folder: Path, *more: str) -> tuple[subprocess.Popen[str], str]:
     process = subprocess.Popen(
-        [sys.executable, "-m", "roster", "--data", str(folder), "--listen", "127.0.0.1:0", *more], cwd=ROOT,
-        stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        [sys.executable, "-m", "roster", "--data", str(folder), "--listen", "127.0.0.1:0", "--fill", "0",
+         *more], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
     line = process.stdout.readline()
     return process, "http://" + line.split()[-1] if line else ""
 
@@ -261,3 +261,22 @@
     done = subprocess.run([sys.executable, "-m", "roster", "--data", str(tmp_path), "--listen", "nowhere"],
                           cwd=ROOT, capture_output=True, text=True, timeout=20, check=False)
     assert done.returncode == 2 and "'nowhere' is not HOST:PORT" in done.stderr
+
+
+def test_a_list_that_began_with_nothing_is_not_told_until_it_may_be_filled(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    now = servers.now_ms()
+    monkeypatch.setattr(servers, "now_ms", lambda: now)
+    service = Service(tmp_path, 5.0)
+    with pytest.raises(servers.UnavailableError, match=r"told in 5\.0 s"):
+        service.ready()
+    service.log.close()
+    again = Service(tmp_path, 5.0)  # killed meanwhile: its history is known, and not yet full
+    now += 4999
+    with pytest.raises(servers.UnavailableError):
+        again.ready()
+    now += 1
+    again.ready()
+    again.log.close()
+    Service(tmp_path, 5.0).ready()  # with its data it is told at once
