Speak of work in hand over one long call, and measure what keeping it costs

Change: one chunked call per door, in signed frames both ways (steward/wire.py, Stream in steward/client.py); `python -m bench takeover` with pairs, latency histograms (HdrHistogram), and the steward alone.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -50,9 +50,29 @@
     lists_.add_argument("--changes", type=whole(10_000), default=50, metavar="N")
     lists_.add_argument("--seed", type=whole(1 << 30), default=1, metavar="N")
     lists_.add_argument("--json", type=Path, metavar="FILE", help="keep the figures")
+    work_ = commands.add_parser("takeover", help="what it costs that work in hand is kept")
+    work_.add_argument("--load", choices=sorted(LOADS), default="steady")
+    work_.add_argument("--seed", type=whole(1 << 30), default=1, metavar="N")
+    work_.add_argument("--requests", type=whole(cost.MOST_REQUESTS), metavar="N", help="of each play")
+    work_.add_argument("--pairs", type=whole(MOST_PAIRS), default=3, metavar="N", help="of plays")
+    work_.add_argument("--pieces", type=whole(10**6), default=10_000, metavar="N", help="at the steward")
+    work_.add_argument("--json", type=Path, metavar="FILE", help="keep the figures")
     return found
 
 
+async def run_takeover(args: argparse.Namespace) -> None:
+    from bench import work  # its packages are not those of a front door
+
+    if args.json:
+        check_writable(args.json)
+    load = cost.fitting(LOADS[args.load], args.requests)
+    found = await work.pairs(prepare(ROOT), load, args.seed, args.pairs)
+    by_itself = await work.alone(args.pieces, args.seed)
+    print(work.table(found, by_itself))
+    if args.json:
+        args.json.write_text(json.dumps(work.as_json(found, by_itself), indent=1) + "\n")
+
+
 async def run_cost(args: argparse.Namespace) -> None:
     unknown = [name for name in args.load or () if name not in LOADS]
     if unknown:
@@ -106,7 +126,7 @@
     task = asyncio.current_task()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-    await (run_cost if args.command == "cost" else run_roster)(args)
+    await {"cost": run_cost, "roster": run_roster, "takeover": run_takeover}[args.command](args)
 
 
 def main() -> int:
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections import Counter, deque
 
 from bench.loads import Load
@@ -13,6 +14,7 @@
 CUSTOMERS = 50
 BODY = b"y" * 256
 PING = encode([b"PING"])
+WRITE = b"*5"  # how a SVC.SUBMIT begins: five words
 MOST_ANSWER = 1 << 20  # bytes of an answer that is not whole
 
 
@@ -86,6 +88,7 @@
         self.idle: list[Caller] = []
         self.ended: Counter[str] = Counter()
         self.open = 0  # requests that wait for their answers
+        self.took_us: list[int] = []  # by each served write, from when it was asked
         self.serial = 0
 
     def command(self) -> bytes:
@@ -122,7 +125,10 @@
             while self.free and not self.free[-1].usable():
                 self.free.pop()
             caller = self.free.pop() if self.free else await Caller.open(self.address)
-            words = await self.wait(caller.ask([self.command() for _ in range(count)]))
+            commands, began = [self.command() for _ in range(count)], time.monotonic_ns()
+            words = await self.wait(caller.ask(commands))
+            if commands[0].startswith(WRITE) and words == ["served"]:
+                self.took_us.append((time.monotonic_ns() - began) // 1000)
             if caller.usable() and "unanswered" not in words:
                 self.free.append(caller)
         except OSError:
--- /dev/null
+++ b/bench/work.py
@@ -0,0 +1,167 @@
+"""What it costs that work in hand is kept: pairs of plays with it off and on, and the steward alone."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import statistics
+import time
+from collections.abc import AsyncIterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from bench.callers import Callers
+from bench.cost import PLAN, REST_S, config
+from bench.errors import BenchError
+from bench.loads import Load
+from bench.process import Process, Tree, free_port, front_door, start_program
+from bench.standins import HOST, World, text
+from steward.client import Stream
+from steward.hand import Hand
+from steward.messages import MOST_OPS, Begin, Done, WorkAnswer
+from steward.wire import now_ms
+
+MOST_US = 10_000_000  # that a histogram holds
+DIGITS = 3
+BODY = b"y" * 512  # a request as it is kept
+VALUE = b"x" * 1024  # an answer
+
+
+@dataclass(frozen=True)
+class Figures:
+    """One play; times are in microseconds."""
+
+    kept: bool
+    requests: int
+    served: int
+    processor_us: float  # of the front door, a request
+    steward_us: float  # of the steward, a request
+    resident: int
+    p50_us: int  # of a write
+    p99_us: int
+
+
+@contextlib.asynccontextmanager
+async def steward(folder: Path, seed: int) -> AsyncIterator[Process]:
+    """A steward as a process of its own; it ends with the block."""
+    (folder / "budgets.toml").write_text("budgets = []\n")
+    (folder / "secret").write_text(f"{random.Random(seed).getrandbits(256):064x}")
+    process, _ = await start_program(
+        ("-m", "steward", "serve", "--data", str(folder / "state"), "--config", str(folder / "budgets.toml"),
+         "--secret", str(folder / "secret"), "--listen", f"{HOST}:0"), folder / "steward.log")
+    try:
+        yield process
+    finally:
+        process.kill()
+        await process.process.wait()
+
+
+async def play(tree: Tree, load: Load, seed: int, kept: bool) -> Figures:
+    """A load against one front door, with its writes kept or not."""
+    world = World(load, seed, peer_level=PLAN["burst"])
+    with TemporaryDirectory(prefix="bench-") as name:
+        folder = Path(name)
+        try:
+            discovery = await world.start()
+            values = config(discovery, world.peer_address, free_port(), seed, False)
+            async with contextlib.AsyncExitStack() as stack:
+                keeper = await stack.enter_async_context(steward(folder, seed)) if kept else None
+                if keeper:
+                    values["takeover"] = {"addresses": text(keeper.address), "classes": ["submit-record"],
+                                          "secret_file": str(folder / "secret")}
+                door = await stack.enter_async_context(front_door(tree, values, folder))
+                return await measure(door, keeper, world, load, seed)
+        except OSError as error:
+            raise BenchError(f"cannot play '{load.name}': {error}") from error
+        finally:
+            await world.close()
+
+
+async def measure(door: Process, keeper: Process | None, world: World, load: Load, seed: int) -> Figures:
+    callers = Callers(load, seed, door.address)
+    try:
+        await asyncio.sleep(REST_S)
+        world.begin()
+        used, other = door.processor_us(), keeper.processor_us() if keeper else 0.0
+        await callers.play()
+        used = door.processor_us() - used
+        other = (keeper.processor_us() if keeper else 0.0) - other
+        histogram = HdrHistogram(1, MOST_US, DIGITS)
+        for took in callers.took_us:
+            histogram.record_value(min(MOST_US, took))
+        count = sum(callers.ended.values())
+        return Figures(keeper is not None, count, callers.ended["served"], used / count, other / count,
+                       door.resident(), int(histogram.get_value_at_percentile(50)),
+                       int(histogram.get_value_at_percentile(99)))
+    finally:
+        callers.close()
+
+
+async def pairs(tree: Tree, load: Load, seed: int, count: int) -> list[tuple[Figures, Figures]]:
+    """Plays with it off and on, in turns."""
+    return [(await play(tree, load, seed + n, False), await play(tree, load, seed + n, True))
+            for n in range(count)]
+
+
+@dataclass(frozen=True)
+class Alone:
+    """The steward alone: pieces of work begun and ended by one door."""
+
+    pieces: int
+    per_s: float  # of its own processor time
+    took_s: float
+    log_bytes: float  # a piece
+
+
+async def alone(pieces: int, seed: int) -> Alone:
+    """So many pieces of work, begun and ended in asks of as many ops as fit."""
+    with TemporaryDirectory(prefix="bench-") as name:
+        folder = Path(name)
+        async with steward(folder, seed) as keeper:
+            secret = (folder / "secret").read_bytes()
+            line, hand = Stream(keeper.address, secret), Hand(0, 1)
+
+            async def ask() -> None:
+                answer = await line.call(hand.ask(now_ms()))
+                hand.answered(msgspec.msgpack.decode(answer, type=WorkAnswer), now_ms())
+
+            await ask()
+            used, began = keeper.processor_us(), time.monotonic()
+            for first in range(0, pieces, MOST_OPS):
+                last = min(pieces, first + MOST_OPS)
+                names = [f"{number % 97:016x}/{number}" for number in range(first, last)]
+                for name in names:
+                    hand.add(Begin(name=name, id=name, digest="d", customer=name[:16], effect="keyed",
+                                   left_ms=2000, window_ms=0, request=BODY, server="s", place="east"))
+                while hand.queue:
+                    await ask()
+                for name in names:
+                    hand.add(Done(name=name, fence=hand.held.pop(name), value=VALUE))
+                while hand.queue:
+                    await ask()
+            took, used = time.monotonic() - began, keeper.processor_us() - used
+            line.close()
+            log = (folder / "state" / "log").stat().st_size
+            return Alone(pieces, pieces * 1e6 / used, took, log / pieces)
+
+
+def table(found: list[tuple[Figures, Figures]], by_itself: Alone) -> str:
+    """Medians with it off and on, and the median difference of the pairs."""
+    lines = ["figure                          off          on  difference"]
+    for name in ("served", "processor_us", "steward_us", "resident", "p50_us", "p99_us"):
+        off, on = ([getattr(one[side], name) for one in found] for side in (0, 1))
+        apart = statistics.median(b - a for a, b in zip(off, on, strict=True))
+        lines.append(f"{name:24}{statistics.median(off):11.0f} {statistics.median(on):11.0f} {apart:+11.0f}")
+    lines.append(f"the steward alone: {by_itself.per_s:.0f} pieces of work a second of one core, "
+                 f"{by_itself.log_bytes:.0f} bytes of log each")
+    return "\n".join(lines)
+
+
+def as_json(found: list[tuple[Figures, Figures]], by_itself: Alone) -> dict[str, Any]:
+    return {"pairs": [[asdict(one) for one in pair] for pair in found], "alone": asdict(by_itself)}
--- a/molereach/takeover.py
+++ b/molereach/takeover.py
@@ -25,10 +25,10 @@
 from molereach.clients import FAILED, Command, CommandError, read_fields
 from molereach.config import Config
 from molereach.resp import CommandReader, ProtocolError, encode
-from steward.client import CallError, Line, TurnedAwayError, signed
+from steward.client import CallError, Stream, TurnedAwayError
 from steward.hand import Hand
 from steward.messages import WORK_LEASE_MS, Begin, Done, Handed, Op, Told, Try, WorkAnswer
-from steward.wire import WORK_PATH, now_ms
+from steward.wire import FrameError, now_ms
 
 if TYPE_CHECKING:
     from molereach.frontdoor import Exchange, FrontDoor
@@ -113,7 +113,7 @@
         self.random = random.Random(config.settings.seed)
         self.pieces: dict[str, Piece] = {}  # by the id under which the module knows the request
         self.by_name: dict[str, Piece] = {}
-        self.line: Line | None = None
+        self.line: Stream | None = None
         self.at = self.waiting = 0
         self.away = True  # until a first answer
         self.wanting = asyncio.Event()
@@ -144,15 +144,16 @@
         address = self.told.addresses[self.at]
         try:
             async with asyncio.timeout(CALL_S):
-                self.line = self.line or Line(address, WORK_PATH)
-                found = await signed(self.line, self.told.secret, self.hand.ask(now_ms()))
+                self.line = self.line or Stream(address, self.told.secret)
+                found = await self.line.call(self.hand.ask(now_ms()))
                 answer = msgspec.msgpack.decode(found, type=WorkAnswer)
         except TurnedAwayError as error:
             log.warning("work cannot be kept: %s", error)
             for op in self.hand.refused():
                 self.begun(op, Told(how="full"))
             return
-        except (OSError, TimeoutError, CallError, h11.ProtocolError, msgspec.MsgspecError) as error:
+        except (OSError, TimeoutError, CallError, FrameError, h11.ProtocolError,
+                msgspec.MsgspecError) as error:
             if not self.away:
                 log.warning("no word of the steward at %s:%d: %s", *address, str(error) or "it is silent")
             self.away = True
--- a/rig/deaths.py
+++ b/rig/deaths.py
@@ -144,7 +144,7 @@
         """What the door says: whether it may pass."""
         if self.door in self.fleet.cut:
             return False
-        self.asked = (self.asked if not data.startswith(b"POST") else b"") + data
+        self.asked += data
         for death in self.fleet.at(self.door):
             point = {"before the intent": b"begin", "before it is kept": b"done"}.get(death.point)
             if point and self.names(death, point):
@@ -159,6 +159,7 @@
             if point and self.names(death, point):
                 self.fleet.strike(death)
                 return False
+        self.asked = b""
         return True
 
     def names(self, death: Death, op: bytes) -> bool:
--- a/steward/client.py
+++ b/steward/client.py
@@ -17,15 +17,14 @@
 
 from steward.holder import Holder
 from steward.messages import Answer
-from steward.wire import PATH, SIGNATURE, now_ms, sign
+from steward.wire import FULL, GOOD, PATH, SIGNATURE, WORK_PATH, Frames, frame, now_ms, sign
 
 log = logging.getLogger(__name__)
 
 Address = tuple[str, int]
 RENEW_SHARE, JITTER = 1 / 3, 0.25  # of the lease: two renewals may get lost
 HURRY_S = 0.2  # between two renewals at least, also where something new is wanted
-MOST_ANSWER = 16 << 20  # bytes: 64 pieces of work of the largest size
-FULL = 507  # the status where nothing can be kept
+MOST_ANSWER = 1 << 20  # bytes
 
 
 class CallError(Exception):
@@ -39,8 +38,8 @@
 class Line:
     """One connection to a steward, used for one call after another."""
 
-    def __init__(self, address: Address, path: str = PATH) -> None:
-        self.address, self.path = address, path
+    def __init__(self, address: Address) -> None:
+        self.address = address
         self.http = h11.Connection(h11.CLIENT)
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -50,7 +49,7 @@
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(*self.address)
         host = "{}:{}".format(*self.address)
-        head = h11.Request(method="POST", target=self.path, headers=[
+        head = h11.Request(method="POST", target=PATH, headers=[
             ("Host", host), ("Content-Length", str(len(body))), (SIGNATURE, signature)])
         self.writer.write(self.http.send(head) + self.http.send(h11.Data(data=body))
                           + self.http.send(h11.EndOfMessage()))
@@ -76,16 +75,46 @@
             self.writer.close()
 
 
-async def signed(line: Line, secret: bytes, ask: object) -> bytes:
-    """A call in msgpack, signed both ways: the answer's body. What is turned away is a TurnedAwayError."""
-    body = msgspec.msgpack.encode(ask)
-    status, signature, found = await line.call(body, sign(secret, body))
-    if status != 200:
-        text = found.decode(errors="replace").strip()[:200] or f"status {status}"
-        raise TurnedAwayError(text) if status == FULL else CallError(text)
-    if not hmac.compare_digest(signature, sign(secret, found)):
-        raise CallError("the answer is not signed by the shared secret")
-    return found
+class Stream:
+    """One long call to a steward, in which asks and answers go by turns: no heads, and one connection."""
+
+    def __init__(self, address: Address, secret: bytes) -> None:
+        self.address, self.secret = address, secret
+        self.http = h11.Connection(h11.CLIENT)
+        self.frames = Frames(secret)
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def call(self, ask: object) -> bytes:
+        """The answer's body, in msgpack; where nothing can be kept, a TurnedAwayError."""
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(*self.address)
+            head = h11.Request(method="POST", target=WORK_PATH, headers=[
+                ("Host", "{}:{}".format(*self.address)), ("Transfer-Encoding", "chunked")])
+            self.writer.write(self.http.send(head))
+        self.writer.write(self.http.send(h11.Data(data=frame(self.secret, msgspec.msgpack.encode(ask)))))
+        while (found := self.frames.next()) is None:
+            await self.read()
+        status, body = found
+        if status != GOOD:
+            text = body.decode(errors="replace")[:200]
+            raise TurnedAwayError(text) if status == FULL else CallError(text)
+        return body
+
+    async def read(self) -> None:
+        event = self.http.next_event()
+        if event is h11.NEED_DATA:
+            self.http.receive_data(await self.reader.read(1 << 16))
+        elif isinstance(event, h11.Response) and event.status_code != 200:
+            raise CallError(f"status {event.status_code}")
+        elif isinstance(event, h11.Data):
+            self.frames.feed(event.data)
+        elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+            raise CallError("the connection has ended")
+
+    def close(self) -> None:
+        if self.writer is not None:
+            self.writer.close()
 
 
 class Renewer:
@@ -147,7 +176,12 @@
         if self.line is None:
             self.line = Line(self.addresses[self.at])
         self.prepare()
-        found = await signed(self.line, self.secret, self.holder.ask(now_ms()))
+        body = msgspec.msgpack.encode(self.holder.ask(now_ms()))
+        status, signed, found = await self.line.call(body, sign(self.secret, body))
+        if status != 200:
+            raise CallError(found.decode(errors="replace").strip()[:200] or f"status {status}")
+        if not hmac.compare_digest(signed, sign(self.secret, found)):
+            raise CallError("the answer is not signed by the shared secret")
         if self.holder.answered(msgspec.msgpack.decode(found, type=Answer), now_ms()):
             self.renewed()
 
--- a/steward/server.py
+++ b/steward/server.py
@@ -18,13 +18,25 @@
 from steward.config import Config
 from steward.messages import MOST_OPS, Answer, Ask, WorkAnswer, WorkAsk, holder_of
 from steward.state import Issued, RefusedError, State
-from steward.wire import PATH, SIGNATURE, WORK_PATH, now_ms, sign
+from steward.wire import (
+    FULL,
+    PATH,
+    REFUSED,
+    SIGNATURE,
+    WORK_PATH,
+    FrameError,
+    Frames,
+    frame,
+    now_ms,
+    sign,
+)
 from steward.work import Record, Work
 
 log = logging.getLogger(__name__)
 
 MOST_BODY = 1 << 19  # bytes: 2,000 budgets with names of 120 characters
-MOST_WORK_BODY = 8 << 20  # bytes: 500 ops of some kilobytes, or tens of the largest requests
+MOST_WORK = 8 << 20  # bytes of an ask on work: 500 ops of some kilobytes, or tens of the largest requests
+MOST_STREAMS = 1000  # calls on work: five times the largest fleet
 TICK_S = 1.0  # between looks at what is over
 LOOK_S = 0.05  # between looks for work that has lost its owner: a twentieth of its lease
 MOST_WAITING = 2000  # asks that wait for the disk: ten from each door of the largest fleet
@@ -54,8 +66,8 @@
         self.waiting: list[tuple[Ask | WorkAsk, asyncio.Future[Answer | WorkAnswer]]] = []
         self.unkept: list[Record] = []  # of work, decided on and not in the log: kept before anything is told
         self.woken = asyncio.Event()
-        self.commits = self.asks = 0
-        self.app = web.Application(middlewares=[refusals], client_max_size=MOST_WORK_BODY)
+        self.commits = self.asks = self.streams = 0
+        self.app = web.Application(middlewares=[refusals], client_max_size=MOST_BODY)
         self.app.add_routes([web.post(PATH, self.renew), web.post(WORK_PATH, self.do_work),
                              web.get("/status", self.status), web.get("/parked", self.parked)])
         self.app.cleanup_ctx.append(self.running)
@@ -75,29 +87,69 @@
             raise web.HTTPForbidden(text="not signed by the shared secret\n")
 
     async def renew(self, request: web.Request) -> web.Response:
-        return await self.answer(request, Ask, MOST_BODY)
-
-    async def do_work(self, request: web.Request) -> web.Response:
-        return await self.answer(request, WorkAsk, MOST_WORK_BODY)
-
-    async def answer(self, request: web.Request, kind: type[Ask | WorkAsk], most: int) -> web.Response:
-        """Take an ask in, and answer once what it has brought about is kept."""
         body = await request.read()
         self.signed(request, body)
         try:
-            if len(body) > most:
-                raise web.HTTPRequestEntityTooLarge(most, len(body))
-            ask = msgspec.msgpack.decode(body, type=kind)
+            ask = msgspec.msgpack.decode(body, type=Ask)
         except msgspec.MsgspecError as error:
             raise RefusedError(f"no ask: {error}") from error
         if len(self.waiting) >= MOST_WAITING:
             return web.Response(status=503, text="too many asks wait\n")
+        said = msgspec.msgpack.encode(await self.decided(ask))
+        return web.Response(body=said, content_type="application/msgpack",
+                            headers={SIGNATURE: sign(self.secret, said)})
+
+    async def do_work(self, request: web.Request) -> web.StreamResponse:
+        """A door's long call: each frame is an ask, and is answered by one. What is not signed ends it."""
+        if self.streams >= MOST_STREAMS:
+            return web.Response(status=503, text="too many calls\n")
+        response = web.StreamResponse()
+        frames, self.streams = Frames(self.secret, MOST_WORK), self.streams + 1
+        try:
+            while (found := frames.next()) is None:  # nothing is answered before the first good frame
+                frames.feed(await self.more(request))
+            await response.prepare(request)
+            while found is not None:
+                await response.write(await self.work_answer(found[1]))
+                while (found := frames.next()) is None:
+                    frames.feed(await self.more(request))
+        except FrameError as error:
+            log.warning("a call on work in hand ends: %s", error)
+            if not response.prepared:
+                raise web.HTTPForbidden(text="not signed by the shared secret\n") from error
+        except (EOFError, ConnectionError):
+            pass  # its door has gone
+        finally:
+            self.streams -= 1
+        return response
+
+    async def more(self, request: web.Request) -> bytes:
+        data = await request.content.readany()
+        if not data:
+            raise EOFError
+        return data
+
+    async def work_answer(self, body: bytes) -> bytes:
+        """The frame that answers one ask."""
+        try:
+            if len(self.waiting) >= MOST_WAITING:
+                raise RefusedError("too many asks wait")
+            ask = msgspec.msgpack.decode(body, type=WorkAsk)
+            said = await self.decided(ask)
+        except msgspec.MsgspecError as error:
+            return frame(self.secret, f"no ask: {error}".encode(), REFUSED)
+        except RefusedError as error:
+            return frame(self.secret, str(error).encode(), REFUSED)
+        except FullError as error:
+            return frame(self.secret, str(error).encode(), FULL)
+        return frame(self.secret, msgspec.msgpack.encode(said))
+
+    def decided(self, ask: Ask | WorkAsk) -> asyncio.Future[Answer | WorkAnswer]:
+        """Take an ask in; the answer comes once what it has brought about is kept."""
         answer: asyncio.Future[Answer | WorkAnswer] = asyncio.get_running_loop().create_future()
         self.waiting.append((ask, answer))
         self.woken.set()
-        said = msgspec.msgpack.encode(await answer)
-        return web.Response(body=said, content_type="application/msgpack",
-                            headers={SIGNATURE: sign(self.secret, said)})
+        return answer
 
     async def commit(self) -> None:
         """Decide on all asks that wait, keep what they bring about by one sync, and then answer."""
--- /dev/null
+++ b/tests/test_bench_work.py
@@ -0,0 +1,32 @@
+"""The bench of work in hand: counts and bytes, never speed."""
+
+import asyncio
+import json
+import subprocess
+import sys
+from dataclasses import replace
+
+from bench import cost, work
+from bench.loads import LOADS
+from bench.process import ROOT, Tree
+
+HERE = Tree(ROOT, f"exec {sys.executable} -m molereach", tells_costs=True)
+
+
+def test_each_request_is_served_with_it_off_and_on_and_a_piece_takes_few_bytes_of_log() -> None:
+    load = replace(cost.fitting(LOADS["steady"], 60), requests=60)
+    found = asyncio.run(work.pairs(HERE, load, 1, 1))
+    ((off, on),) = found
+    assert (off.kept, on.kept) == (False, True) and off.served == on.served == 60
+    assert not off.steward_us and on.p50_us > 0
+    alone = asyncio.run(work.alone(200, 1))
+    # A request of 512 bytes and an answer of 1,024 as base64 (2,052), and what is said of them.
+    assert 2052 < alone.log_bytes < 3000
+    assert "the steward alone" in work.table(found, alone)
+    assert json.loads(json.dumps(work.as_json(found, alone)))["alone"]["pieces"] == 200
+
+
+def test_bad_input_is_one_line() -> None:
+    done = subprocess.run([sys.executable, "-m", "bench", "takeover", "--pairs", "x"], cwd=ROOT,
+                          capture_output=True, text=True, timeout=60, check=False)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "--pairs" in done.stderr
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -19,8 +19,9 @@
 from model.ledger import Store
 from steward import book as books
 from steward.book import Book, LockedError, begin
+from steward.client import CallError, Stream
 from steward.config import Config, ConfigError, Kind, read
-from steward.messages import Answer, Ask, Want
+from steward.messages import MOST_OPS, Answer, Ask, Begin, Leave, Want, WorkAnswer, WorkAsk
 from steward.state import MOST_LEASE_MS, Terms, granted
 from steward.wire import PATH, SIGNATURE, now_ms, sign
 
@@ -369,6 +370,32 @@
     run(act, tmp_path, 0)
 
 
+def test_a_call_on_work_is_for_who_has_the_secret_and_nonsense_is_one_sentence(tmp_path: Path) -> None:
+    async def act(found: Fleet) -> None:
+        address, secret = found.addresses[0], SECRET.encode()
+        stranger = Stream(address, b"x" * 16)
+        with pytest.raises(CallError, match="403"):
+            await stranger.call(WorkAsk(door=0, mark=1, serial=1))
+        stranger.close()
+        stream = Stream(address, secret)
+        with pytest.raises(CallError, match="no ask"):
+            await stream.call({"door": "none"})
+        with pytest.raises(CallError, match="numbered"):
+            await stream.call(WorkAsk(door=-1, mark=1, serial=1))
+        many = tuple(Leave(name="n", fence=1) for _ in range(MOST_OPS + 1))
+        with pytest.raises(CallError, match=f"{MOST_OPS} ops at most"):
+            await stream.call(WorkAsk(door=0, mark=1, serial=1, ops=many))
+        # All on one connection, which goes on.
+        begin_ = Begin(name="n", id="i", digest="d", customer="c", effect="keyed", left_ms=1000,
+                       window_ms=1000, request=b"r", server="s", place="p")
+        answer = msgspec.msgpack.decode(await stream.call(WorkAsk(door=0, mark=1, serial=2, ops=(begin_,))),
+                                        type=WorkAnswer)
+        assert [one.how for one in answer.told] == ["kept"]
+        stream.close()
+
+    run(act, tmp_path, 0)
+
+
 @pytest.mark.parametrize("words, said", [
     (["serve", "--data", "x", "--config", "/nowhere", "--secret", "/nowhere"], "No such file"),
     (["serve"], "Missing option"), (["bogus"], "No such command"),
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -27,7 +27,7 @@
     WorkAsk,
 )
 from steward.state import RefusedError
-from steward.wire import now_ms
+from steward.wire import FULL, GOOD, FrameError, Frames, frame, now_ms
 from steward.work import MOST_DEATHS, MOST_OF_CUSTOMER, MOST_REQUEST, MOST_VALUE, Work, weight
 from tests.helpers import SETTINGS, S, World, of, servers
 
@@ -489,3 +489,29 @@
         read_takeover(values, {"a": 0})
     assert "\n" not in str(caught.value)
     assert read_takeover(None, {}) is None
+
+
+# --- the wire ---
+
+
+def test_frames_come_apart_wherever_they_are_cut_and_only_signed_ones_are_read() -> None:
+    secret = b"s" * 16
+    sent = frame(secret, b"one") + frame(secret, b"", FULL) + frame(secret, bytes(range(256)))
+    for cut in range(len(sent)):
+        frames, found = Frames(secret), []
+        for part in (sent[:cut], sent[cut:]):
+            frames.feed(part)
+            while (one := frames.next()) is not None:
+                found.append(one)
+        assert found == [(GOOD, b"one"), (FULL, b""), (GOOD, bytes(range(256)))]
+    for at in range(4, len(frame(secret, b"one"))):
+        spoilt = bytearray(frame(secret, b"one"))
+        spoilt[at] ^= 1
+        frames = Frames(secret)
+        frames.feed(bytes(spoilt))
+        with pytest.raises(FrameError, match="not signed"):
+            frames.next()
+    frames = Frames(secret, most=2)
+    frames.feed(frame(secret, b"one"))
+    with pytest.raises(FrameError, match="of 3 bytes"):
+        frames.next()
