--- a/tests/test_rig_recovery.py
+++ b/tests/test_rig_recovery.py
@@ -1,10 +1,14 @@
 """Coming back, with several real processes: what doors take up again, what they pass over and keep."""
 
+import asyncio
 import sys
+from pathlib import Path
 
 import pytest
 
-from bench.process import ROOT, Tree
+from bench.cost import config
+from bench.process import ROOT, Tree, free_port, front_door, start_door
+from bench.standins import HOST
 from rig.checks import Seen, check
 from rig.plan import load
 from rig.runs import play_once
@@ -64,3 +68,40 @@
     assert [record for record in seen.by["sent"] if record["door"] == "doors-1" and record["at"] > woke]
     died = [record for record in seen.by["died"] if record["who"] == "doors-2"]
     assert [record["code"] for record in died][:2] == [-9, 0]  # SIGTERM on the way back is a clean end
+
+
+def test_the_one_door_that_is_left_takes_ten_times_the_load_and_keeps_the_rules() -> None:
+    seen = played("rest")
+    (killed,) = [record["at"] for record in seen.by["fault"] if record["fault"] == "kill"]
+    back = min(record["at"] for record in seen.by["started"] if record["at"] > killed)
+    ends = [record for record in seen.by["end"] if killed < record["at"] < back]
+    served = [record for record in ends if record["how"] == "served"]
+    assert served and any(record["how"] == "refused" for record in ends)
+    # Once the others are back all serve again.
+    asked = {record["id"]: record["door"] for record in seen.by["try"]}
+    assert {asked[record["id"]] for record in seen.by["end"]
+            if record["how"] == "served" and record["at"] > back} == {0, 1, 2, 3}
+
+
+def test_two_doors_with_one_number_are_one_door(tmp_path: Path) -> None:
+    """The second has neither the first one's address nor its folder, and says so in one line."""
+    values = config((HOST, free_port()), (HOST, free_port()), free_port(), 1, False)
+    values |= {"state_dir": str(tmp_path / "state")}
+    other = {**values, "listen": f"{HOST}:{free_port()}"}
+
+    async def act() -> list[tuple[int, str]]:
+        found = []
+        (tmp_path / "first").mkdir()
+        (tmp_path / "second").mkdir()
+        async with front_door(HERE, values, tmp_path / "first") as first:
+            for again in (values, other, {**values, "state_dir": str(tmp_path / "fresh")}):
+                second = await start_door(HERE, again, tmp_path / "second")
+                code = await asyncio.wait_for(second.process.wait(), 20)
+                found.append((code, second.last_line()))
+            await first.ready()
+        return found
+
+    (one, two, three) = asyncio.run(act())
+    assert one[0] == two[0] == 2 and "another front door has the folder" in one[1]
+    assert "another front door has the folder" in two[1]
+    assert three[0] == 1 and "cannot start" in three[1]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,6 +1,7 @@
 """Several real front doors and a steward: doors die at chosen points of a piece of work."""
 
 import asyncio
+import resource
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -180,6 +181,37 @@
     assert len(found.ran["k"]) == 1 and found.said(0, "left 1")
 
 
+def test_a_full_disk_of_the_stewards_means_work_without_and_no_wait(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        process = found.steward.process.pid
+        _, most = resource.prlimit(process, resource.RLIMIT_FSIZE)
+        resource.prlimit(process, resource.RLIMIT_FSIZE, (0, most))
+        assert await found.ask(0, found.submit("keyed", "k", "a1", BODY), LONG_S) == "served"
+        assert found.said(0, "work cannot be kept")
+        resource.prlimit(process, resource.RLIMIT_FSIZE, (most, most))
+        assert await found.ask(0, found.submit("keyed", "j", "a2", BODY), LONG_S) == "served"
+        assert await found.ask(1, found.submit("keyed", "j", "a3", BODY), LONG_S) == "served"
+
+    found = fleet(tmp_path, act)
+    assert len(found.came["k"]) == 1 and len(found.came["j"]) == 1  # what was kept again was answered
+
+
+def test_a_client_that_went_away_finds_its_work_where_it_ran(tmp_path: Path) -> None:
+    async def act(found: Deaths) -> None:
+        for number in range(4):
+            key = f"k{number}"
+            found.held.add(key)
+            first = asyncio.create_task(found.ask(0, found.submit("keyed", key, f"a{key}", BODY), LONG_S))
+            await until(lambda key=key: found.came[key])
+            first.cancel()  # its connection closes, while another client asks
+            found.held.clear()
+            again = found.submit("keyed", key, f"b{key}", BODY)
+            assert await found.ask(1 + number % 3, again, LONG_S) == "served"
+
+    found = fleet(tmp_path, act)
+    assert all(len({hall for _, hall in found.came[f"k{n}"]}) == 1 for n in range(4))
+
+
 @pytest.fixture(scope="module")
 def played() -> Seen:
     return play_once(load("takeover"), 1, HERE, lambda text: None)
