Check kept work by its key over all requests, and soak with it and its steward's faults

Need: the checker of executions goes by request, so a key that ran in two halls by two of its client's requests passed, which is what keeping work is for.

Change: the checker `kept_work`, for plans with takeover, with planted violations; random plans keep work in half of all plays, and strike the steward and its links.

--- a/rig/checks.py
+++ b/rig/checks.py
@@ -155,6 +155,32 @@
     return found
 
 
+def kept_work(seen: Seen) -> list[Violation]:
+    """Where work in hand is kept, a key runs in one hall, by whichever requests it is asked for; and once a
+    client was told its outcome nothing of it runs again. Excused: what a door logged as gone on without."""
+    if not seen.plan.takeover:
+        return []
+    found: list[Violation] = []
+    rules = {rule.name: rule for rule in seen.plan.fleet.classes}
+    ends = {(record["server"], record["serial"]): record for record in seen.by["left"]}
+    asked = {record["id"]: record for record in seen.by["try"]}
+    served = {asked[record["id"]]["key"]: record["at"] for record in reversed(seen.by["end"])
+              if record["how"] == "served" and record["id"] in asked}
+    ran: dict[str, list[Record]] = defaultdict(list)
+    for record in seen.by["came"]:
+        end = ends.get((record["server"], record["serial"]))
+        if record["key"] and rules[record["class"]].name in seen.plan.takeover and (
+                end is None or end["how"] in RUN):
+            ran[record["key"]].append(record)
+    slack = seen.plan.limits.drain_ms * MS
+    for key, records in ran.items():
+        if len({record["zone"] for record in records}) > 1:
+            found.append(Violation("kept work", records[-1]["at"], f"key {key} ran in two halls"))
+        found += [Violation("kept work", record["at"], f"key {key} ran again after its client was told")
+                  for record in records if record["at"] > served.get(key, NEVER) + slack]
+    return found
+
+
 def one_attempt(seen: Seen) -> list[Violation]:
     """One attempt of a request is out at a time. Excused: the time that a link's delay, a paused scan server
     or a link to it at fault takes to show that an attempt was given up."""
@@ -264,7 +290,7 @@
 
 CHECKS: dict[str, Callable[[Seen], list[Violation]]] = {
     check.__name__: check
-    for check in (one_answer, executions, one_attempt, drains, quotas, stale, processes)
+    for check in (one_answer, executions, kept_work, one_attempt, drains, quotas, stale, processes)
 }
 
 
--- a/rig/soak.py
+++ b/rig/soak.py
@@ -42,23 +42,29 @@
         name=name, doors=chance.randint(2, MOST_DOORS), length_s=LENGTH_S,
         servers=Servers(count=chance.randint(2, MOST_SERVERS)), net=Net(zones=chance.randint(1, 2)),
         demand=Demand(load=(0.2, 0.5)))
-    faults = tuple(draw_fault(chance) for _ in range(chance.randint(1, MOST_FAULTS)))
+    kept = ("submit-record",) if chance.random() < 0.5 else ()
+    faults = tuple(draw_fault(chance, bool(kept)) for _ in range(chance.randint(1, MOST_FAULTS)))
     return Plan(name=name, fleet=fleet, faults=faults, clients=chance.randint(1, 2),
-                state=chance.random() < 0.5)
+                state=chance.random() < 0.5, takeover=kept)
 
 
-def draw_fault(chance: random.Random) -> Fault:
+def draw_fault(chance: random.Random, steward: bool) -> Fault:
     kind = chance.choice(KINDS)
     at_s, for_s = round(chance.uniform(1, 5), 2), round(chance.uniform(0.2, 2.5), 2)
-    on = chance.choice(("doors", "doors", "servers", "list", "follower")) if kind in (
-        "kill", "pause") else "list" if kind == "full_disk" else "doors"
+    keepers = ("steward",) if steward else ()
+    on = "doors"
+    if kind in ("kill", "pause"):
+        on = chance.choice(("doors", "doors", "servers", "list", "follower", *keepers))
+    elif kind == "full_disk":
+        on = chance.choice(("list", *keepers))
+    links = (*LINKS, "doors-steward") if steward else LINKS
     size = {"delay": chance.uniform(1, 200), "limit": chance.uniform(2e4, 1e6),
             "slow": chance.uniform(1.5, 6)}.get(kind, chance.uniform(0.05, 0.6))
     return Fault(
         kind=kind, at_s=at_s, for_s=for_s, on=on, part=chance.choice((0.3, 0.5, 0.9, 1.0)),
         size=round(size, 3),
         state=chance.choice(("kept", "none", "old")) if on in ("doors", "follower") else "kept",
-        link="doors-doors" if kind in ("repeat", "reorder") else chance.choice(LINKS),
+        link="doors-doors" if kind in ("repeat", "reorder") else chance.choice(links),
         way=chance.choice(("both", "both", "there", "back")), stagger_s=chance.choice((0.0, 1.0)))
 
 
@@ -72,6 +78,8 @@
         yield replace(plan, clients=1)
     if plan.state:
         yield replace(plan, state=False)
+    if plan.takeover:
+        yield replace(plan, takeover=())
     for doors in {2, fleet.doors // 2, fleet.doors - 1}:
         if 2 <= doors < fleet.doors:
             yield replace(plan, fleet=replace(fleet, doors=doors))
--- a/tests/test_rig_checks.py
+++ b/tests/test_rig_checks.py
@@ -1,5 +1,8 @@
 """Checkers: a history in order is passed, and each planted violation is found, by its checker alone."""
 
+from collections.abc import Callable
+
+import msgspec
 import pytest
 
 from model.scenario import Demand, Scenario, Servers
@@ -69,7 +72,7 @@
 def test_a_history_in_order_breaks_nothing() -> None:
     assert found() == set()
     assert set(CHECKS) == {
-        "one_answer", "executions", "one_attempt", "drains", "quotas", "stale", "processes"}
+        "one_answer", "executions", "kept_work", "one_attempt", "drains", "quotas", "stale", "processes"}
 
 
 LOST = ask("x", 8 * S)
@@ -127,6 +130,23 @@
     assert found(*records) == set()
 
 
+@pytest.mark.parametrize("later, said", [
+    (lambda: ask("other", 3 * S, zone=1, server="servers-1"), "in two halls"),
+    (lambda: ask("other", 3 * S), "after its client was told"),
+])
+def test_kept_work_that_runs_again_under_its_key_is_found_where_it_is_kept(
+    later: Callable[[], list[Record]], said: str
+) -> None:
+    """Another request under the key of one that was served: without anything kept, a client's own affair."""
+    records = [{**record, "key": "r1"} if "key" in record else record for record in later()]
+    history = merge([CALM, records])
+    assert CHECKS["kept_work"](Seen(history, PLAN)) == []
+    kept = msgspec.structs.replace(PLAN, takeover=("submit-record",))
+    (first, *_) = CHECKS["kept_work"](Seen(history, kept))
+    assert said in first.text
+    assert CHECKS["kept_work"](Seen(CALM, kept)) == []
+
+
 def test_figures_count_what_the_history_tells() -> None:
     extra = [{"at": S, "kind": "open", "link": "doors-servers", "sides": ["doors-0", "servers-0"]}] * 3
     seen = Seen(merge([CALM, KILLED, extra]), PLAN, 1)
