Play work in hand that outlives its door in the model, and count keyed asks that ran in two halls

Need: what taking work over is worth to a large fleet, and what it costs the takers, was not known; nor how often keyed work runs in two halls without it.

Change: model/kept.py (lease, one taker, the hall, who asks again, kept answers), `takeover = true` in a scenario, `python -m model takeover` for pairs with it off and on. The module is the same.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -1,4 +1,4 @@
-"""The model's commands: run, compare, sweep, report and search."""
+"""The model's commands: run, compare, takeover, sweep, report and search."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import BinaryIO
 
@@ -133,6 +134,34 @@
         show(results[number * 2 * seeds : (number + 1) * 2 * seeds], rev, "this tree")
 
 
+@cli.command()
+@click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
+@SEEDS
+@FIRST
+@JOBS
+@OUT
+def takeover(scenarios: tuple[str, ...], seeds: int, first: int, jobs: int, out: Path | None) -> None:
+    """Scenarios with work in hand lost with its door against kept by a steward, on the same seeds."""
+    with tempfile.TemporaryDirectory(prefix="model-") as folder:
+        plays = []
+        for name in scenarios:
+            scenario = load(name)
+            for side, kept in (("lost", False), ("kept", True)):
+                (Path(folder) / f"{scenario.name}-{side}.toml").write_text(
+                    dump(msgspec.structs.replace(scenario, takeover=kept)))
+            plays += [Play(side, ROOT, str(Path(folder) / f"{scenario.name}-{side}.toml"), seed)
+                      for seed in range(first, first + seeds) for side in ("lost", "kept")]
+        results = play_all(plays, jobs, out)
+    for number, name in enumerate(scenarios):
+        these = results[number * 2 * seeds : (number + 1) * 2 * seeds]
+        click.echo(f"{name}: work in hand lost against kept")
+        show(these, "lost", "kept")
+        counts = Counter()  # of a play with it
+        for total in these:
+            counts.update(total["kept"] if total["side"] == "kept" else {})
+        click.echo(", ".join(f"{what} {count / seeds:g}" for what, count in sorted(counts.items())))
+
+
 @cli.command()
 @click.argument("constant")
 @click.argument("scenario")
--- a/model/clients.py
+++ b/model/clients.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from model.day import Day
     from model.doors import Door
+    from model.kept import Piece
 
 RECENT_US = 5 * S  # after a start for which what a door does not know is the cause of what it lets by
 TOO_LATE = ("late on arrival", "late retry")  # refusals that come of why an earlier try was not served
@@ -60,13 +61,14 @@
 class Ask:
     """What a client wants, from its first try to the last."""
 
-    __slots__ = ("aim_us", "cause", "customer", "end_us", "first_us", "ideal", "kind", "tries", "work_us",
-                 "worth")
+    __slots__ = ("aim_us", "cause", "customer", "end_us", "first_us", "halls", "ideal", "kind", "tries",
+                 "work_us", "worth")
 
     def __init__(self, customer: Customer, kind: int, work_us: float, worth: float, now: int) -> None:
         self.customer, self.kind, self.work_us, self.worth = customer, kind, work_us, worth
         self.first_us = now
         self.tries, self.ideal = 0, False
+        self.halls: frozenset[int] = frozenset()  # where it has run
         self.cause = "a slow answer"  # why it is not served yet: of its last try that was not
         self.aim_us = self.end_us = now
 
@@ -74,11 +76,12 @@
 class Try:
     """One request id: `booked` once its units were taken, `over` once its client knows how it ended."""
 
-    __slots__ = ("ask", "booked", "door", "end_us", "id", "inside", "over")
+    __slots__ = ("ask", "booked", "door", "end_us", "heir", "id", "inside", "over")
 
     def __init__(self, name: str, ask: Ask, door: Door, end_us: int) -> None:
         self.id, self.ask, self.door, self.end_us = name, ask, door, end_us
         self.booked = self.inside = self.over = False
+        self.heir: Piece | None = None  # no client's: the work of a dead door
 
 
 class Clients:
@@ -161,9 +164,14 @@
         self.day.clock.after(REFUSED_US, self.receive, try_, "unreached", "door is down", 0)
 
     def door_died(self, try_: Try) -> None:
+        if try_.heir is not None:
+            return
         self.day.clock.after(self.day.network.to_client_us(), self.receive, try_, "unreached", "door died", 0)
 
     def answered(self, try_: Try, how: str, retry_after_us: int, note: Decided | None, door: Door) -> None:
+        if try_.heir is not None:
+            self.day.kept.ended(try_.heir, how)
+            return
         cause = how if how != "refused" else self.refusal(try_, note)
         if how == "failed":
             cause = f"failed: {note.why}" if note and note.why else "failed"
@@ -220,6 +228,7 @@
     def end(self, ask: Ask, served: Try | None, cause: str) -> None:
         """The ask is over: what was offered, what was earned, and under which cause the rest is lost."""
         day, now = self.day, self.day.clock.now
+        day.kept.forget(ask)
         plan, rule = day.plans[ask.customer.plan], day.scenario.classes[ask.kind]
         offered = ask.worth * (1.0 if ask.ideal else plan.over_worth)
         earned, late_fail = 0.0, 0.0
--- a/model/day.py
+++ b/model/day.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterator
 from dataclasses import fields
 
@@ -13,6 +14,7 @@
 from model.clients import Clients, Demand, PlanFigures
 from model.clock import MS, Clock, S
 from model.doors import GRACE_US, Door
+from model.kept import Kept
 from model.network import Network
 from model.scenario import Scenario
 from model.servers import ScanServer, Traits
@@ -23,7 +25,7 @@
 START_US = 1_000 * S  # when a run begins: a start time of 0 means long ago
 TAIL_S = 1.0  # after the last possible end of a request
 LOAD_KINDS = ("burst", "hot_customers", "one_shots")  # troubles that are a part of the load
-STREAMS = ("servers", "net", "lists", "clients", "demand", "asks", "work", "troubles", "doors")
+STREAMS = ("servers", "net", "lists", "clients", "demand", "asks", "work", "troubles", "doors", "kept")
 NOISE = (0.052, 0.47)  # of one attempt's work against another's for the same request (the site)
 
 
@@ -45,6 +47,7 @@
         self.catalog = Catalog(self)
         self.servers: dict[str, ScanServer] = {}
         self.gone_silent: set[str] = set()
+        self.kept, self.heirs = Kept(self), itertools.count(1)
         self.doors = [Door(self, number, number % scenario.net.zones) for number in range(scenario.doors)]
         self.clients = Clients(self, scenario.clients, self.streams["clients"])
         self.demand = Demand(self)
@@ -170,6 +173,7 @@
             "offered": sum(books.offered.values()), "earned": sum(books.earned.values()),
             "lost": dict(sorted(books.lost.items())),
             "messages": books.by_cause(books.messages), "peer_bytes": books.peer_bytes,
+            "kept": self.kept.result(), "halls": books.halls,
             "outcomes": dict(sorted(books.outcomes.items())), "broken": dict(sorted(books.breaks.items())),
             "sums": books.check(), "events": self.clock.calls,
         }
--- a/model/doors.py
+++ b/model/doors.py
@@ -12,13 +12,14 @@
 
 from fennelwinch import interface as i
 from fennelwinch.codec import pack_message, unpack_message
+from model.clients import Try
 from model.clock import MS, S
 from model.servers import ScanServer, Work
 from model.watched import Decided, Watched
 
 if TYPE_CHECKING:
-    from model.clients import Try
     from model.day import Day
+    from model.kept import Piece
 
 IDLE_PART = 0.5  # of a server's idle time after which a door closes: as molereach does
 SWEEP_US = S  # how often idle connections are looked through
@@ -109,6 +110,8 @@
                     server.disconnect()
         opened, self.open = self.open, {}
         for state in opened.values():
+            if not state.answered:
+                self.day.kept.lost(state)
             for attempt in state.out.values():
                 self.release(attempt, keep=False)
             if not state.answered:
@@ -191,6 +194,8 @@
         if self.gateway is None:
             self.day.clients.unreached(try_)
             return
+        if self.day.kept.meets(try_):
+            return
         now = self.day.clock.now
         left = max(0, try_.end_us - now - int(self.day.scenario.net.way_ms * MS))
         self.open[try_.id] = Open(try_, now + left)
@@ -201,6 +206,29 @@
             False, self.day.scenario.classes[ask.kind].keyed,
         ))
 
+    def inherit(self, piece: Piece) -> None:
+        """Go on with the work of a dead door."""
+        until = self.day.kept.until_us(piece)
+        try_ = Try(f"{piece.ask.customer.name}.{next(self.day.heirs)}", piece.ask, self, until)
+        try_.heir, try_.booked, try_.inside = piece, True, piece.inside
+        self.go_on(try_, until, piece.server)
+
+    def go_on(self, try_: Try, end_us: int, server: ScanServer) -> None:
+        """Take work that another door has admitted, and that may have run at a scan server."""
+        ask, now = try_.ask, self.day.clock.now
+        customer = ask.customer
+        self.open[try_.id] = Open(try_, end_us)
+        known = server.name if server.name in self.named else self.like(server)
+        self.handle(i.Request(
+            try_.id, ask.kind, customer.plan, customer.name, max(0, end_us - now), 1.0, customer.size,
+            customer.first, False, True, inherited=True, bound=known))
+
+    def like(self, server: ScanServer) -> str:
+        """Another scan server of its hall that this door knows."""
+        servers = self.day.servers
+        return next((name for name in sorted(self.named)
+                     if name in servers and servers[name].zone == server.zone), "")
+
     def client_gone(self, try_: Try) -> bool:
         """Its client gives up: whether an answer was still owed."""
         state = self.open.get(try_.id)
@@ -327,11 +355,18 @@
             self.day.clients.sent_on(state.try_, self)
         day, server = self.day, attempt.target
         work = Work(state.try_.ask.work_us * max(0.2, day.streams["work"].lognormal(1.0, day.attempt_noise)),
-                    state.end_us, lambda work, how: day.network.from_server(
-                        self, server, how, self.answered_by, life, state, attempt, work, how))
+                    state.end_us, lambda work, how: self.ran(life, server, state, attempt, work, how))
         attempt.work = work
         server.accept(work, self.number, extra_us)
 
+    def ran(self, life: int, server: ScanServer, state: Open, attempt: Attempt, work: Work, how: str) -> None:
+        """It has ended at its server, whoever hears of that."""
+        ask = state.try_.ask
+        if how != "full" and self.day.scenario.classes[ask.kind].keyed and server.zone not in ask.halls:
+            self.day.books.halls += bool(ask.halls)
+            ask.halls |= {server.zone}
+        self.day.network.from_server(self, server, how, self.answered_by, life, state, attempt, work, how)
+
     def answered_by(self, life: int, state: Open, attempt: Attempt, work: Work, how: str) -> None:
         """A server's answer, or word that its connection broke, has come back."""
         if how == "silent" or attempt.over or life != self.life:
--- a/model/experiment.py
+++ b/model/experiment.py
@@ -172,6 +172,7 @@
         "messages an ask": sent / asks,
         "messages lost": 1 - messages.get("arrived", 0) / sent if sent else 0.0,
         "broken rules": float(sum(total["broken"].values())),
+        "keyed in two halls": float(total.get("halls", 0)),
         **way_figures(total.get("way")),
     }
 
--- a/model/scenario.py
+++ b/model/scenario.py
@@ -189,6 +189,7 @@
     fall_s: Positive = 2.0
     drain_grace_ms: Positive = 250.0
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=20)] = 5
+    takeover: bool = False  # keyed work in hand is kept by a steward, and outlives its door
     servers: Servers = Servers()
     net: Net = Net()
     clients: Clients = Clients()
--- a/rig/world.py
+++ b/rig/world.py
@@ -7,6 +7,7 @@
 from model.books import Books
 from model.clients import Customer, Demand, PlanFigures
 from model.clock import Clock, S
+from model.kept import Kept
 from model.scenario import Scenario
 from model.servers import Traits
 from model.streams import Stream
@@ -40,6 +41,7 @@
         self.doors: list[Any] = list(range(scenario.doors))
         self.demand = Demand(self)  # type: ignore[arg-type]
         self.clients: Any = None
+        self.kept = Kept(self)  # type: ignore[arg-type] - of the model alone: here doors and steward are real
 
     def capacity(self) -> float:
         """Of all scan servers, in cores at the usual speed."""
