--- a/steward/book.py
+++ b/steward/book.py
@@ -25,7 +25,8 @@
 
 log = logging.getLogger(__name__)
 
-MOST_RECORDS = 50_000  # in the log before a snapshot takes their place: some megabytes
+# In the log before a snapshot takes their place: grants are some megabytes, requests and answers more.
+MOST_RECORDS, MOST_LOG_BYTES = 50_000, 64 << 20
 BOOT = Path("/proc/sys/kernel/random/boot_id")
 PER_MS = 1000  # fences begin at the time, by thousandths of milliseconds: no history reaches another's
 
@@ -125,7 +126,7 @@
         self.records.append([*(self.record(*one) for one in made), *map(self.work_record, work)])
 
     def due(self) -> bool:
-        return self.records.count >= MOST_RECORDS
+        return self.records.count >= MOST_RECORDS or self.records.size >= MOST_LOG_BYTES
 
     def snapshot(self, state: State, work: Work) -> None:
         """All that may be believed in or is in hand, in one file; then the log is emptied."""
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -410,6 +410,22 @@
     book.close()
 
 
+def test_a_log_that_has_grown_long_or_large_makes_place_for_a_snapshot(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    grown(tmp_path)
+    book = Book(tmp_path)
+    state, found = book.open(CONFIG)
+    assert not book.due()
+    for name in ("MOST_RECORDS", "MOST_LOG_BYTES"):
+        with monkeypatch.context() as small:
+            small.setattr(books, name, 5)
+            assert book.due()
+    book.snapshot(state, found)
+    assert not book.records.size and not book.due()
+    book.close()
+
+
 def test_work_of_another_boot_is_over(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     grown(tmp_path)
     monkeypatch.setattr(books, "boot", lambda: "another")
