Tell of every attempt at kept work, also where the queue is full or the class is another door's

Found on rereading molereach/takeover.py: with its queue of 2,000 ops full, a door went on without telling of a further attempt at work that is kept, so that a taker could have gone to the other hall; an answer then was failed though it could be told; and work handed over by a door that keeps more classes was sent on untold.

Change: such an attempt is not made, the answer is told as one that could not be kept, and handed work is told of whatever its class.

--- a/molereach/takeover.py
+++ b/molereach/takeover.py
@@ -216,7 +216,8 @@
     # --- attempts ---
 
     def covers(self, exchange: Exchange) -> bool:
-        return exchange.command.class_index in self.told.classes
+        """Whether its attempts are told of: by its class, or as another door's that was handed over."""
+        return exchange.command.class_index in self.told.classes or exchange.reply.id in self.pieces
 
     def before(self, exchange: Exchange, attempt: Attempt) -> None:
         """An attempt is to be sent: first it is told of, unless its work goes on without."""
@@ -270,10 +271,12 @@
 
     def keep(self, piece: Piece, op: Op) -> None:
         """Tell of an attempt, and wait for word for a while."""
-        if not self.put(op):
+        if self.put(op):
+            self.after(piece, KEEP_WAIT_S, self.unkept, piece)
+        elif piece.fence:  # it is kept, and nobody may be told wrongly where it runs
+            self.unkept(piece)
+        else:
             self.go_without(piece)
-            return
-        self.after(piece, KEEP_WAIT_S, self.unkept, piece)
 
     def after(self, piece: Piece, wait_s: float, act: Callable[..., None], *words: object) -> None:
         if piece.timer:
@@ -360,10 +363,10 @@
         if piece is None or piece.without or piece.over:
             return False
         piece.data = data
-        if not self.holds(piece) or not self.put(Done(name=piece.name, fence=piece.fence, value=value)):
-            self.lose(piece)
-        else:
+        if self.put(Done(name=piece.name, fence=piece.fence, value=value)):
             self.after(piece, OUTCOME_WAIT_S, self.unkept_outcome, piece)
+        else:
+            self.unkept_outcome(piece)
         return True
 
     def unkept_outcome(self, piece: Piece) -> None:
