--- a/rig/deaths.py
+++ b/rig/deaths.py
@@ -16,12 +16,15 @@
 from pathlib import Path
 from typing import Any
 
+from aiohttp import ClientSession
+
 from bench.callers import Caller
 from bench.errors import BenchError
 from bench.process import Process, Tree, free_port, start_door, start_program
 from bench.standins import HOST, Address, text
 from molereach.resp import CommandReader, ProtocolError, encode
 from rig.errors import RigError
+from steward.wire import SIGNATURE, sign
 
 POINTS = ("before the intent", "after the intent", "in the write", "after the write", "before it is kept",
           "after it is kept", "after the client has it")
@@ -272,6 +275,14 @@
         log = self.folder / f"door-{number}" / "log"
         return log.read_text(errors="replace").count(text) if log.exists() else 0
 
+    async def counts(self) -> dict[str, int]:
+        """What the steward says of all work so far."""
+        secret = (self.folder / "secret").read_bytes()
+        url = f"http://{text(self.steward.address)}/status"
+        async with ClientSession() as session, session.get(
+                url, headers={SIGNATURE: sign(secret, b"/status")}) as answer:
+            return (await answer.json())["work"]
+
     # --- deaths ---
 
     def at(self, door: int) -> list[Death]:
@@ -358,9 +369,13 @@
                 say(f"{len(found)} deaths")
 
     try:
-        async with fleet.running(), asyncio.TaskGroup() as group:
-            for door in range(max(1, doors // 2)):
-                group.create_task(work(door))
+        async with fleet.running():
+            async with asyncio.TaskGroup() as group:
+                for door in range(max(1, doors // 2)):
+                    group.create_task(work(door))
+            if takeover:
+                counts = await fleet.counts()
+                say(", ".join(f"{name} {counts[name]}" for name in ("kept", "handed", "served", "parked")))
     except (BenchError, ExceptionGroup) as error:
         inner = error.exceptions[0] if isinstance(error, ExceptionGroup) else error
         if isinstance(inner, BenchError):
