--- a/tests/test_model_kept.py
+++ b/tests/test_model_kept.py
@@ -1,12 +1,17 @@
 """Work in hand that outlives its door, in the model: nobody runs twice in two halls, and rules are kept."""
 
+import subprocess
+import sys
+from pathlib import Path
+
 import msgspec
 import pytest
 
+from bench.process import ROOT
 from model import day as days
 from model.day import Day
 from model.kept import LEASE_US
-from model.scenario import Demand, Net, Scenario, Servers, Trouble
+from model.scenario import Demand, Net, Scenario, Servers, Trouble, dump
 
 FLEET = Scenario(name="kept", doors=8, length_s=10, stretch=1.7, servers=Servers(count=8), net=Net(zones=4),
                  demand=Demand(load=(0.6, 0.6)),
@@ -40,3 +45,14 @@
     usual = days.play(calm, 1).result()
     assert days.play(msgspec.structs.replace(calm, takeover=True), 1).result() == usual
     assert LEASE_US < 2_000_000  # else what is taken over would have no time left
+
+
+def test_the_command_sets_both_sides_beside_each_other(tmp_path: Path) -> None:
+    path = tmp_path / "small.toml"
+    path.write_text(dump(msgspec.structs.replace(FLEET, length_s=6, doors=4, servers=Servers(count=4))))
+    words = ["takeover", str(path), "--seeds", "1", "--jobs", "2"]
+    done = subprocess.run([sys.executable, "-m", "model", *words], cwd=ROOT, capture_output=True,
+                          text=True, timeout=120, check=False)
+    assert done.returncode == 0, done.stderr
+    assert "lost against kept" in done.stdout and "keyed in two halls" in done.stdout
+    assert "most a second" in done.stdout.splitlines()[-1]
