--- a/steward/__main__.py
+++ b/steward/__main__.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import contextlib
+import json
 import logging
 import signal
 import sys
 import time
 from pathlib import Path
+from urllib.error import HTTPError, URLError
+from urllib.request import Request, urlopen
 
 import click
 from aiohttp import web
@@ -19,10 +22,11 @@
 from steward.check import PLANTED, Kind, Outcome, explore, wander
 from steward.config import ConfigError, read
 from steward.server import Service
-from steward.wire import LEAST_SECRET
+from steward.wire import LEAST_SECRET, SIGNATURE, sign
 
 SHUTDOWN_S = 2.0
 LOOK_S = 0.05  # of a standby at the lock
+ASK_S = 5.0  # for an answer to `status`
 FOUND = 3  # the exit code where something does not hold
 
 
@@ -94,6 +98,25 @@
         sys.exit(f"steward: {error.filename or listen}: {error.strerror}")
 
 
+@cli.command("status")
+@click.option("--at", default="127.0.0.1:8600", show_default=True, metavar="HOST:PORT")
+@click.option("--secret", type=click.Path(dir_okay=False, path_type=Path), required=True)
+@click.option("--parked", is_flag=True, help="The work that was given up, as its owners died of it.")
+def status_(at: str, secret: Path, parked: bool) -> None:
+    """What a steward holds, as JSON."""
+    path = "/parked" if parked else "/status"
+    try:
+        shared = secret.read_bytes().strip()
+        request = Request(f"http://{at}{path}", headers={SIGNATURE: sign(shared, path.encode())})
+        with urlopen(request, timeout=ASK_S) as answer:
+            found = json.load(answer)
+    except HTTPError as error:
+        sys.exit(f"steward: {at}: {error.read().decode(errors='replace').strip() or error.reason}")
+    except (URLError, ValueError, OSError) as error:
+        sys.exit(f"steward: {at}: {getattr(error, 'reason', None) or error}")
+    click.echo(json.dumps(found, indent=1))
+
+
 @cli.command("begin")
 @click.option("--data", type=click.Path(file_okay=False, path_type=Path), required=True)
 @click.option("--config", "config_path", type=click.Path(dir_okay=False, path_type=Path), required=True)
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -392,6 +392,17 @@
                                         type=WorkAnswer)
         assert [one.how for one in answer.told] == ["kept"]
         stream.close()
+        # What it holds, by the command.
+        (tmp_path / "s").write_text(SECRET)
+        (tmp_path / "x").write_text("x" * 16)
+        at = "{}:{}".format(*address)
+        words = [sys.executable, "-m", "steward", "status", "--at", at, "--secret"]
+        for more, code, said in ((["s"], 0, '"intents": 1'), (["s", "--parked"], 0, "[]"),
+                                 (["x"], 1, "not signed")):
+            done = await asyncio.to_thread(subprocess.run, [*words, str(tmp_path / more[0]), *more[1:]],
+                                           cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+            assert done.returncode == code and said in done.stdout + done.stderr
+            assert "Traceback" not in done.stderr
 
     run(act, tmp_path, 0)
 
