--- a/tests/test_rig_recovery.py
+++ b/tests/test_rig_recovery.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import sys
+import zlib
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from bench.cost import config
 from bench.process import ROOT, Tree, free_port, front_door, start_door
 from bench.standins import HOST
+from model.clock import Clock
 from rig.checks import Seen, check
-from rig.plan import load
+from rig.plan import Fault, Plan, load
 from rig.runs import play_once
+from rig.world import Load, World
 
 HERE = Tree(ROOT, f"exec {sys.executable} -m molereach", tells_costs=True)
 
@@ -105,3 +109,27 @@
     assert one[0] == two[0] == 2 and "another front door has the folder" in one[1]
     assert "another front door has the folder" in two[1]
     assert three[0] == 1 and "cannot start" in three[1]
+
+
+def largest_homes(plan: Plan, seed: int, count: int) -> tuple[int, ...]:
+    """The doors that are home to the customers who ask most."""
+    world = World(plan.fleet, seed, Clock())
+    load = Load(world, 0)
+    load.begin(world.capacity())
+    largest = sorted(load.customers, key=lambda customer: -customer.usual)[:count]
+    homes = {(customer.first + zlib.crc32(customer.name.encode()) % customer.size) % plan.fleet.doors
+             for customer in largest}
+    return tuple(sorted(homes))
+
+
+def test_the_homes_of_the_largest_customers_restart_and_no_quota_is_passed() -> None:
+    plan = load("again")
+    homes = largest_homes(plan, 1, 2)
+    assert homes and len(homes) < plan.fleet.doors
+    kill = Fault(kind="kill", at_s=3.0, numbers=homes, back_s=(0.2, 0.4), state="none")
+    plan = msgspec.structs.replace(plan, name="homes", state=False, faults=(kill,))
+    seen = play_once(plan, 1, HERE, lambda text: None)
+    assert check(seen) == []
+    back = max(record["at"] for record in seen.by["started"] if record["who"] == f"doors-{homes[0]}")
+    served = {record["id"] for record in seen.by["end"] if record["how"] == "served" and record["at"] > back}
+    assert {record["door"] for record in seen.by["try"] if record["id"] in served} == set(range(4))
