Do not say that handed work has come where the answer came too late

Found on rereading steward/hand.py, answered: the fences of handed work were noted as come before the look at the lease; after an answer that came too late the next ask told so, and the steward would have taken the work for a door's that never had it, until its time was over.

Change: they are noted once the lease was seen to last; what two lists said is one. On the way, with behaviour as it was: a condition in molereach/takeover.py that asked the same twice, the end of a wait written twice, and two loops in rig/deaths.py are one each.

Measured: test_work and test_takeover; the new test fails without it.

--- a/molereach/takeover.py
+++ b/molereach/takeover.py
@@ -233,12 +233,10 @@
             op = Try(name=piece.name, fence=piece.fence, number=piece.number, server=attempt.server,
                      place=place, unrun=not piece.was_out and not piece.ran)
             self.keep(piece, op)
-        elif self.away or not self.hand.is_alive(now_ms()) or piece.name in self.by_name:
-            # Where a request of the same name is out here, this one waits for it as for another door's.
-            if piece.name in self.by_name:
-                self.wait(piece, self.begin_of(piece, attempt, place))
-            else:
-                self.go_without(piece)
+        elif piece.name in self.by_name:  # a request of that name is out here: as if it were another door's
+            self.wait(piece, self.begin_of(piece, attempt, place))
+        elif self.away or not self.hand.is_alive(now_ms()):
+            self.go_without(piece)
         else:
             self.by_name[piece.name] = piece
             piece.begin = self.begin_of(piece, attempt, place)
@@ -409,9 +407,7 @@
         piece.over = True
         if piece.timer:
             piece.timer.cancel()
-        if piece.until_ms:
-            self.waiting -= 1
-            piece.until_ms = 0
+        self.stop_waiting(piece)
         if self.by_name.get(piece.name) is piece:
             del self.by_name[piece.name]
         self.pieces.pop(piece.exchange.reply.id, None)
@@ -505,11 +501,14 @@
         self.forget(piece)
         self.door.refuse(i.Refuse(name, WORK_LEASE_MS * 1000))
 
-    def resume(self, piece: Piece, told: Told) -> None:
-        """Nobody has it any more: it is ours, and the module's again, where it may have run if it has."""
+    def stop_waiting(self, piece: Piece) -> None:
         if piece.until_ms:
             self.waiting -= 1
             piece.until_ms = 0
+
+    def resume(self, piece: Piece, told: Told) -> None:
+        """Nobody has it any more: it is ours, and the module's again, where it may have run if it has."""
+        self.stop_waiting(piece)
         piece.exchange.attempts = 0
         self.decide(piece, told.server, told.place)
 
--- a/rig/deaths.py
+++ b/rig/deaths.py
@@ -148,23 +148,24 @@
         if self.door in self.fleet.cut:
             return False
         self.asked += data
-        for death in self.fleet.at(self.door):
-            point = {"before the intent": b"begin", "before it is kept": b"done"}.get(death.point)
-            if point and self.names(death, point):
-                self.fleet.strike(death)
-                return False
-        return True
+        return not self.strikes({"before the intent": b"begin", "before it is kept": b"done"})
 
     def tell(self, data: bytes) -> bool:
         """What the steward answers to it."""
-        for death in self.fleet.at(self.door):
-            point = {"after the intent": b"begin", "after it is kept": b"done"}.get(death.point)
-            if point and self.names(death, point):
-                self.fleet.strike(death)
-                return False
+        if self.strikes({"after the intent": b"begin", "after it is kept": b"done"}):
+            return False
         self.asked = b""
         return True
 
+    def strikes(self, ops: dict[str, bytes]) -> bool:
+        """Whether a death is due here: by its point, the op that the ask which is out has to hold."""
+        for death in self.fleet.at(self.door):
+            op = ops.get(death.point)
+            if op and self.names(death, op):
+                self.fleet.strike(death)
+                return True
+        return False
+
     def names(self, death: Death, op: bytes) -> bool:
         """Whether the ask that is out holds an op of a piece of work."""
         return op in self.asked and death.key.encode() in self.asked
--- a/steward/check_work.py
+++ b/steward/check_work.py
@@ -151,7 +151,7 @@
 def copy_door(door: Door) -> Door:
     hand = copy.copy(door.hand)
     hand.held, hand.queue, hand.took = dict(hand.held), list(hand.queue), list(hand.took)
-    hand.taken, hand.withdrawn = set(hand.taken), set(hand.withdrawn)
+    hand.withdrawn = set(hand.withdrawn)
     return Door(hand, door.alive, {name: copy.copy(job) for name, job in door.jobs.items()})
 
 
--- a/steward/hand.py
+++ b/steward/hand.py
@@ -26,8 +26,7 @@
         self.held: dict[str, int] = {}  # by name: the fence under which it is ours
         self.queue: list[Op] = []
         self.asked: tuple[int, int, list[Op]] | None = None  # serial, when, and ops of the ask that is out
-        self.took: list[int] = []  # fences of handed work, to be told of having come
-        self.taken: set[int] = set()  # the same, of the last answer: what is told again is known
+        self.took: list[int] = []  # fences of the work that the last answer handed: told of having come
         self.withdrawn: set[str] = set()  # begun, and given up on before there was an answer
         self.leaving = False
 
@@ -121,15 +120,15 @@
             return [], []
         _, asked_ms, ops = self.asked
         self.asked = None
-        self.took = [handed.fence for handed in answer.handed]
         self.until_ms = max(self.until_ms, self.lease_end(asked_ms, answer.lease_ms, now_ms))
         told = list(zip(ops, answer.told, strict=False))
         for op, one in told:
             self.note(op, one)
-        if not self.is_alive(now_ms):  # too late to begin anything by it
+        known, self.took = self.took, []
+        if not self.is_alive(now_ms):  # too late to begin anything by it: none of it has come
             return told, []
-        fresh = [handed for handed in answer.handed if handed.fence not in self.taken]
-        self.taken = set(self.took)  # what is not told again any more never comes again
+        fresh = [handed for handed in answer.handed if handed.fence not in known]
+        self.took = [handed.fence for handed in answer.handed]
         for handed in fresh:
             self.held[handed.name] = handed.fence
         return told, fresh
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -308,6 +308,20 @@
     assert not hand.is_alive(START + 5000)
 
 
+def test_work_that_an_answer_hands_too_late_has_not_come_and_is_handed_again() -> None:
+    hand = Hand(5, 1)
+    handed = Handed(name="c/k", fence=7, request=b"r", left_ms=1000)
+    answer = WorkAnswer(door=5, mark=1, serial=1, lease_ms=WORK_LEASE_MS, handed=(handed,))
+    hand.ask(START)
+    assert hand.answered(answer, START + 950) == ([], []) and not hand.held
+    assert hand.ask(START + 960).took == ()
+    again = WorkAnswer(door=5, mark=1, serial=2, lease_ms=WORK_LEASE_MS, handed=(handed,))
+    assert hand.answered(again, START + 970) == ([], [handed])
+    assert hand.ask(START + 980).took == (7,)  # told again until that is heard, and taken once
+    third = WorkAnswer(door=5, mark=1, serial=3, lease_ms=WORK_LEASE_MS, handed=(handed,))
+    assert hand.answered(third, START + 990) == ([], [])
+
+
 def test_a_begin_that_was_given_up_on_is_taken_back_wherever_it_is() -> None:
     fleet, hand = Fleet(1), Hand(5, 1)
     hand.add(intent())
