Start the steward for deaths and for the bench by one function

Found on rereading: rig/deaths.py and bench/work.py each had the steward's command line and its files.

Change: start_steward in bench/work.py serves both; behaviour is as it was.

Measured: test_takeover, test_bench_work, test_steward.

--- a/bench/work.py
+++ b/bench/work.py
@@ -47,14 +47,20 @@
     p99_us: int
 
 
+async def start_steward(folder: Path) -> Process:
+    """With the files in a folder: `budgets.toml`, `secret`, and `state` if it was there before."""
+    process, _ = await start_program(
+        ("-m", "steward", "serve", "--data", str(folder / "state"), "--config", str(folder / "budgets.toml"),
+         "--secret", str(folder / "secret"), "--listen", f"{HOST}:0"), folder / "steward.log")
+    return process
+
+
 @contextlib.asynccontextmanager
 async def steward(folder: Path, seed: int) -> AsyncIterator[Process]:
     """A steward as a process of its own; it ends with the block."""
     (folder / "budgets.toml").write_text("budgets = []\n")
     (folder / "secret").write_text(f"{random.Random(seed).getrandbits(256):064x}")
-    process, _ = await start_program(
-        ("-m", "steward", "serve", "--data", str(folder / "state"), "--config", str(folder / "budgets.toml"),
-         "--secret", str(folder / "secret"), "--listen", f"{HOST}:0"), folder / "steward.log")
+    process = await start_steward(folder)
     try:
         yield process
     finally:
--- a/rig/deaths.py
+++ b/rig/deaths.py
@@ -20,8 +20,9 @@
 
 from bench.callers import Caller
 from bench.errors import BenchError
-from bench.process import Process, Tree, free_port, start_door, start_program
+from bench.process import Process, Tree, free_port, start_door
 from bench.standins import HOST, Address, text
+from bench.work import start_steward
 from molereach.resp import CommandReader, ProtocolError, encode
 from rig.errors import RigError
 from steward.wire import SIGNATURE, sign
@@ -228,10 +229,7 @@
 
     async def start_steward(self) -> None:
         """With what it has kept, if it was there before."""
-        self.steward, _ = await start_program(
-            ("-m", "steward", "serve", "--data", str(self.folder / "state"), "--config",
-             str(self.folder / "budgets.toml"), "--secret", str(self.folder / "secret"), "--listen",
-             f"{HOST}:0"), self.folder / "steward.log")
+        self.steward = await start_steward(self.folder)
 
     def config(self, number: int, scans: list[Address], wire: Address, secret: Path) -> dict[str, Any]:
         """What a door is told: all of its fleet, and a list that nobody renews."""
