--- a/roster/follow.py
+++ b/roster/follow.py
@@ -37,9 +37,18 @@
 CONNECT_S = 1.0
 SILENT_S = 5.0  # an empty line comes every 2 s; a watch that is silent for longer is dead
 BACKOFF_S, MOST_BACKOFF_S = 0.2, 5.0  # between tries, of full jitter: followers do not come back together
+MOST_LATER_S = 30.0  # that one waits because the other says so: as long as it keeps leases in doubt
 LINE_BYTES = 4 << 20  # of the whole list of MOST_INSTANCES
 
 
+class LaterError(Exception):
+    """The other has nothing to tell yet, and says when it will have."""
+
+    def __init__(self, after_s: float) -> None:
+        super().__init__(f"in {after_s:g} s")
+        self.after_s = after_s
+
+
 class Copy:
     """What a follower holds: each message of the other, and the list that they make together."""
 
@@ -136,22 +145,27 @@
 
     async def follow(self) -> None:
         """Watch the other for good; a watch that ends begins again where it ended."""
-        tries = 0
+        tries, later_s = 0, 0.0
         async with ClientSession(read_bufsize=LINE_BYTES, timeout=ClientTimeout(
                 total=None, sock_connect=CONNECT_S, sock_read=SILENT_S)) as session:
             while True:
-                before = self.heard_ms
+                before, later_s = self.heard_ms, 0.0
                 try:
                     await self.listen(session)
+                except LaterError as error:
+                    log.warning("%s has no list yet, and will in %.0f s", self.source, error.after_s)
+                    tries, later_s = 0, error.after_s
                 except (ClientError, OSError, TimeoutError, ValueError, RefusedError) as error:
                     log.warning("the watch of %s ended: %s", self.source, str(error) or type(error).__name__)
                 tries = 0 if self.heard_ms != before else tries + 1
                 longest = min(MOST_BACKOFF_S, BACKOFF_S * 2 ** min(tries, 10))
-                await asyncio.sleep(self.random.uniform(0, longest))
+                await asyncio.sleep(later_s + self.random.uniform(0, longest))
 
     async def listen(self, session: ClientSession) -> None:
         after = "" if self.copy.generation < 0 else str(self.copy.generation)
         async with session.get(f"http://{self.source}{READ_PATH}?watch=1&after={after}") as answer:
+            if answer.status == 503 and (after := answer.headers.get("Retry-After", "")).isdecimal():
+                raise LaterError(min(MOST_LATER_S, float(after)))
             if answer.status != 200:
                 raise RefusedError(f"it answered {answer.status}")
             async for line in answer.content:
--- a/roster/registration.py
+++ b/roster/registration.py
@@ -39,6 +39,8 @@
         self.base, self.values = f"http://{service}/instances/{name}", dict(values)
         self.lease_s = float(values.get("lease_ms", 10_000)) / 1000
         self.random = chance or random.Random()
+        # A service that has lost its list tells none until all can have registered: by their next renewal.
+        self.longest_s = min(MOST_BACKOFF_S, self.lease_s * RENEW_SHARE)
         self.generation = -1  # of the last change that the service has told of
         self.session: ClientSession | None = None
         self.renewing: asyncio.Task[None] | None = None
@@ -114,7 +116,7 @@
             if tries and count >= tries:
                 raise RegistrationError(f"no answer in {tries} tries: {reason}")
             log.warning("the list service cannot be reached: %s", reason)
-            await asyncio.sleep(self.random.uniform(0, min(MOST_BACKOFF_S, BACKOFF_S * 2 ** min(count, 10))))
+            await asyncio.sleep(self.random.uniform(0, min(self.longest_s, BACKOFF_S * 2 ** min(count, 10))))
         if status not in allowed:
             raise RegistrationError(str(said.get("error", f"it answered {status}")))
         if status == 200 and type(said.get("generation")) is int:
--- a/roster/server.py
+++ b/roster/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import logging
+import math
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -35,12 +36,21 @@
     return time.monotonic_ns() // 1_000_000
 
 
-def answer(status: int, value: dict[str, Any]) -> web.Response:
-    return web.json_response(value, status=status)
+def answer(status: int, value: dict[str, Any], headers: dict[str, str] | None = None) -> web.Response:
+    return web.json_response(value, status=status, headers=headers)
 
 
 class UnavailableError(RefusedError):
-    """There is nothing to answer with yet."""
+    """There is nothing to answer with yet; there may be in `after_s`, where that is known."""
+
+    def __init__(self, text: str, after_s: float | None = None) -> None:
+        super().__init__(text)
+        self.after_s = after_s
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """In whole seconds, as RFC 9110 (10.2.3) has them: never too early."""
+        return {} if self.after_s is None else {"Retry-After": str(math.ceil(self.after_s))}
 
 
 @web.middleware
@@ -55,7 +65,7 @@
     except UnknownError as error:
         return answer(404, {"error": str(error)})
     except UnavailableError as error:
-        return answer(503, {"error": str(error)})
+        return answer(503, {"error": str(error)}, error.headers)
     except RefusedError as error:
         full = "cannot be kept" in str(error)
         return answer(507 if full else 400, {"error": str(error)})
@@ -189,7 +199,8 @@
         if self.log.is_filling():
             left_ms = self.filled_ms - now_ms()
             if left_ms > 0:
-                raise UnavailableError(f"the list began with nothing, and is told in {left_ms / 1000:.1f} s")
+                raise UnavailableError(
+                    f"the list began with nothing, and is told in {left_ms / 1000:.1f} s", left_ms / 1000)
             self.log.filled()
 
     async def running(self, _: web.Application) -> Any:  # noqa: ANN401 - aiohttp's context
--- a/tests/test_roster_follow.py
+++ b/tests/test_roster_follow.py
@@ -220,3 +220,57 @@
                 del seen[one.id]
         held = news.generation
         assert seen == {name: replace(one, generation=0) for name, one in source.instances.items()}
+
+
+def test_a_follower_of_a_service_that_is_filled_comes_when_it_is_told_to(tmp_path: Path) -> None:
+    """And not after a wait drawn anew each time: that was up to 5 s on top, for all behind the follower."""
+    async def act() -> None:
+        first, reads = Service(tmp_path, 1.0), []
+        ready = first.ready
+        first.ready = lambda: (reads.append(1), ready())[1]
+        async with up(first) as one:
+            async with ClientSession() as session, session.get(f"http://{one}{READ_PATH}") as answer:
+                assert answer.status == 503 and answer.headers["Retry-After"] == "1"
+            reads.clear()
+            second = Follower(one, random.Random(1))
+            async with up(second):
+                await until(lambda: second.copy.generation == first.store.generation)
+                assert len(reads) == 2
+
+    play(act)
+
+
+@pytest.mark.parametrize("said, waits", [("7", [7.0]), ("900", [30.0]), ("soon", [0.0]), ("-3", [0.0])])
+def test_when_to_come_again_is_bounded_and_nonsense_is_no_time(
+    said: str, waits: list[float], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def act() -> None:
+        async def later(_: web.Request) -> web.Response:
+            return web.Response(status=503, headers={"Retry-After": said})
+
+        class Low(random.Random):
+            def uniform(self, low: float, high: float) -> float:
+                return low
+
+        slept: list[float] = []
+        stop = asyncio.Event()
+
+        async def sleep(seconds: float) -> None:
+            slept.append(seconds)
+            stop.set()
+            await asyncio.Event().wait()
+
+        first = Reader(Copy())
+        app = web.Application()
+        app.router.add_get(READ_PATH, later)
+        first.app = app
+        async with up(first) as one:
+            second = Follower(one, Low())
+            monkeypatch.setattr(follow.asyncio, "sleep", sleep)
+            task = asyncio.get_running_loop().create_task(second.follow())
+            await asyncio.wait_for(stop.wait(), WAIT_S)
+            monkeypatch.undo()
+            task.cancel()
+            assert slept == waits
+
+    play(act)
--- a/tests/test_roster_registration.py
+++ b/tests/test_roster_registration.py
@@ -94,3 +94,25 @@
             await server.leave()
 
     play(act)
+
+
+def test_a_scan_server_tries_again_within_a_third_of_its_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A service that has lost its list is told to be full by then."""
+    monkeypatch.setattr(registration, "MOST_BACKOFF_S", 5.0)
+    monkeypatch.setattr(registration, "BACKOFF_S", 0.2)
+    highs: list[float] = []
+
+    class Low(random.Random):
+        def uniform(self, low: float, high: float) -> float:
+            highs.append(high)
+            return low
+
+    async def act() -> None:
+        server = Registration("127.0.0.1:1", "s-1", values(6001, lease_ms=3000), Low())
+        server.session = registration.ClientSession()
+        with pytest.raises(RegistrationError, match="no answer in 9 tries"):
+            await server.call_until_heard("POST", "/renew", None, 9)
+        await server.close()
+
+    play(act)
+    assert highs[:2] == [0.4, 0.8] and max(highs) == 1.0
