Let stewards stand by on one folder and take over from one that hangs, by terms of office

Need: the steward was one process and a standby that waited for its lock. A steward that hung or was suspended kept the lock, so nobody took over and each door fell to its floor; nothing told a steward whose folder had been moved away that another history had begun; three stewards could not be played.

Change: steward/tenure.py. Whoever becomes the steward begins a term by making the folder term-N, which succeeds for one process alone, reads the log of the terms before and keeps its own there. Signs of life are looks at the term's time, counted by looks. A steward looks for a later term after what it decided is in its log and before it tells anybody (durable order: append, sync, look, tell), so one that was passed over tells nothing, and its successor need not wait. It then stands by again.

--- a/durable/records.py
+++ b/durable/records.py
@@ -135,7 +135,12 @@
         file.flush()
         os.fsync(file.fileno())
     fresh.replace(path)
-    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
+    sync_folder(path.parent)
+
+
+def sync_folder(path: Path) -> None:
+    """Make what stands in a folder outlive the machine's power."""
+    folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
     try:
         os.fsync(folder)
     finally:
--- a/steward/__main__.py
+++ b/steward/__main__.py
@@ -18,37 +18,46 @@
 
 from durable.records import DamageError
 from steward import check_work
-from steward.book import Book, LockedError, begin
+from steward.book import Book, begin
 from steward.check import PLANTED, Kind, Outcome, explore, stray_all
 from steward.config import ConfigError, read
 from steward.server import Service
+from steward.tenure import LockedError, claim, keep, office
 from steward.wire import LEAST_SECRET, SIGNATURE, sign
 
 SHUTDOWN_S = 2.0
-LOOK_S = 0.05  # of a standby at the lock
 ASK_S = 5.0  # for an answer to `status`
 FOUND = 3  # the exit code where something does not hold
 
 
 async def serve(folder: Path, config_path: Path, secret: bytes, host: str, port: int, wait: bool) -> None:
-    """Serve until SIGTERM or SIGINT; a standby takes its address at once, and serves when it has the lock."""
+    """Serve until SIGTERM or SIGINT; a standby serves when it has a term of office, and stands by again when
+    another has taken over."""
     config = read(config_path)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    while True:
+    while tenure := await office(folder, stopped) if wait else claim(folder):
+        lost = asyncio.Event()
+        keeping = loop.create_task(keep(tenure, lost))
         try:
-            book = Book(folder)
-            break
-        except LockedError:
-            if not wait:
-                raise
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(stopped.wait(), LOOK_S)
+            # It may take long, and is well meanwhile.
+            service = await loop.run_in_executor(None, Service, Book(tenure), config, secret, lost)
+            loop.add_signal_handler(signal.SIGHUP, reload, service, config_path)
+            port = await answer(service, host, port, stopped)
+        finally:
+            keeping.cancel()
+        if stopped.is_set():
             return
-    service = Service(book, config, secret)
-    loop.add_signal_handler(signal.SIGHUP, reload, service, config_path)
+        if not wait:
+            raise LockedError(f"another steward has taken over the folder {folder}")
+        logging.getLogger("steward").warning("another steward has taken over the folder %s", folder)
+        config = service.config  # as a SIGHUP has left it
+
+
+async def answer(service: Service, host: str, port: int, stopped: asyncio.Event) -> int:
+    """Serve until it is stopped, or another has taken over: the port, which the system may have chosen."""
     runner = web.AppRunner(service.app, access_log=None, shutdown_timeout=SHUTDOWN_S)
     await runner.setup()
     try:
@@ -56,9 +65,18 @@
         await site.start()
         where = runner.addresses[0]
         print(f"steward serves at {where[0]}:{where[1]}", flush=True)
-        await stopped.wait()
+        await first(stopped, service.lost)
     finally:
         await runner.cleanup()
+    return where[1]
+
+
+async def first(*events: asyncio.Event) -> None:
+    """Until one of them is set."""
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
 
 
 def reload(service: Service, path: Path) -> None:
@@ -80,7 +98,8 @@
 @click.option("--secret", type=click.Path(dir_okay=False, path_type=Path), required=True,
               help="A file with the secret that steward and doors share.")
 @click.option("--listen", default="127.0.0.1:8600", show_default=True, metavar="HOST:PORT")
-@click.option("--standby", is_flag=True, help="Wait for the folder while another process has it.")
+@click.option("--standby", is_flag=True,
+              help="Wait while another process has the folder, and take over when that ends or hangs.")
 def serve_(data: Path, config_path: Path, secret: Path, listen: str, standby: bool) -> None:
     """Serve the budgets of a configuration."""
     host, _, port = listen.rpartition(":")
--- a/steward/book.py
+++ b/steward/book.py
@@ -1,25 +1,24 @@
 """What makes grants outlive the steward's process: each is in a synced log before it is told to anybody.
 
-The folder is locked by the process that has it; a standby waits for that lock, reads the log, and goes on.
-Grants of the same boot have their exact ends, as all processes share its clock; those of another boot may be
-believed in for the longest lease from now. Where nothing is left, a history of its own begins, and grants
-nothing until the longest lease that may be set has run out.
+One process at a time has the folder, for a term (steward/tenure.py); it reads what the one before it has
+kept, and goes on. Grants of the same boot have their exact ends, as all processes share its clock; those of
+another boot may be believed in for the longest lease from now. Where nothing is left, a history of its own
+begins, and grants nothing until the longest lease that may be set has run out.
 """
 
 from __future__ import annotations
 
-import fcntl
 import logging
-import os
 import time
 from collections.abc import Iterable
 from pathlib import Path
 
 import msgspec
 
-from durable.records import DamageError, Records, read_whole, write_whole
+from durable.records import DamageError, Records, read_log, read_whole, write_whole
 from steward.config import Config
 from steward.state import MOST_LEASE_MS, Issued, State
+from steward.tenure import LockedError, LostError, Tenure, claim
 from steward.wire import now_ms
 from steward.work import Record, Work
 
@@ -31,10 +30,6 @@
 PER_MS = 1000  # fences begin at the time, by thousandths of milliseconds: no history reaches another's
 
 
-class LockedError(Exception):
-    """The folder is another's: a process has it, or a history is in it."""
-
-
 def boot() -> str:
     try:
         return BOOT.read_text().strip()
@@ -44,45 +39,56 @@
 
 def begin(folder: Path, config: Config) -> None:
     """Make a folder for a history that is the first: nobody can hold anything, and nothing is waited for."""
-    book = Book(folder)
+    book = Book(claim(folder))
     try:
-        if book.snapshot_path.exists():
+        if book.tenure.before() is not None:
             raise LockedError(f"there is a history in the folder {folder} already")
         state, work = book.open(config)
         state.quiet_until_ms = 0
-        book.snapshot(state, work)
+        book.put(book.image(state, work))
     finally:
         book.close()
 
 
 class Book:
-    """The folder of a steward's, while it is locked."""
-
-    def __init__(self, folder: Path) -> None:
-        self.folder, self.boot = folder, boot()
-        folder.mkdir(parents=True, exist_ok=True)
-        self.lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        try:
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except BlockingIOError:
-            os.close(self.lock)
-            raise LockedError(f"another steward has the folder {folder}") from None
-        self.snapshot_path, self.records = folder / "snapshot", Records(folder / "log")
+    """What a term of a steward's keeps."""
+
+    def __init__(self, tenure: Tenure) -> None:
+        self.tenure, self.boot = tenure, boot()
+        self.snapshot_path, self.records = tenure.place / "snapshot", Records(tenure.place / "log")
+
+    def read(self) -> tuple[object | None, list[object]]:
+        """The last snapshot of the terms before this one, and the records since. Its process may still be
+        there and put a snapshot in its log's place: the log is read first, so that nothing is missed."""
+        before = self.tenure.before()
+        if before is None:
+            return None, []
+        path = before / "log"
+        data = path.read_bytes() if path.exists() else b""
+        values, end = read_log(data, str(path))
+        if end < len(data):
+            log.warning("%s: %d bytes of a change that was not completed are passed over", path,
+                        len(data) - end)
+        kept = read_whole(before / "snapshot")
+        if kept is None and values:
+            raise DamageError(f"{before / 'snapshot'} is missing, but there is a log")
+        return kept, values
 
     def open(self, config: Config) -> tuple[State, Work]:
-        """Grants and work in hand as the log tells them, or a new history."""
+        """Grants and work in hand as the terms before told them, or a new history; kept as this term's."""
+        found = self.take_on(config)
+        self.records.open()
+        self.put(self.image(*found))
+        self.tenure.tidy()
+        return found
+
+    def take_on(self, config: Config) -> tuple[State, Work]:
         now = now_ms()
-        (self.folder / "snapshot.new").unlink(missing_ok=True)
-        kept = read_whole(self.snapshot_path)
-        values = self.records.open()
+        kept, values = self.read()
         fresh = time.time_ns() // 1_000_000 * PER_MS
         if kept is None:
-            if values:
-                raise DamageError(f"{self.snapshot_path} is missing, but there is a log")
-            state = State(fresh, now, MOST_LEASE_MS, config.lease_ms)
-            work = Work(fresh, now, config.work_lease_ms)
-            self.snapshot(state, work)
-            return state, work
+            return (State(fresh, now, MOST_LEASE_MS, config.lease_ms),
+                    Work(fresh, now, config.work_lease_ms))
         try:
             state = State(int(kept["fence"]), now, 0, config.lease_ms)
             same = kept["boot"] == self.boot  # else the clock is another
@@ -97,7 +103,8 @@
                 else:
                     strange += 1
         except (KeyError, TypeError, ValueError) as error:
-            raise DamageError(f"{self.folder} holds a record that is none of ours: {error!r}") from error
+            raise DamageError(
+                f"{self.tenure.folder} holds a record that is none of ours: {error!r}") from error
         if strange:  # the machine has started again since, and every door with it: all of that is over
             log.warning("%d records of work in hand are of another boot, and are passed over", strange)
         work.taken_up(now)
@@ -122,20 +129,27 @@
         return {**msgspec.to_builtins(record), "boot": self.boot}
 
     def append(self, made: Iterable[tuple[str, str, Issued]], work: Iterable[Record] = ()) -> None:
-        """Keep grants and what became of work, synced; a FullError where that fails."""
+        """Keep grants and what became of work, synced; a FullError where that fails. What is kept may be told
+        while this term lasts, which is looked at last: else a LostError."""
         self.records.append([*(self.record(*one) for one in made), *map(self.work_record, work)])
+        if not self.tenure.holds():
+            raise LostError("another steward has taken over")
 
     def due(self) -> bool:
         return self.records.count >= MOST_RECORDS or self.records.size >= MOST_LOG_BYTES
 
-    def snapshot(self, state: State, work: Work) -> None:
-        """All that may be believed in or is in hand, in one file; then the log is emptied."""
-        write_whole(self.snapshot_path, {
+    def image(self, state: State, work: Work) -> dict[str, object]:
+        """All that may be believed in or is in hand."""
+        return {
             "fence": state.fence, "boot": self.boot, "quiet_until_ms": state.quiet_until_ms,
             "issued": [self.record(*one) for one in state.issued()],
-            "work_fence": work.fence, "work": [self.work_record(record) for record in work.kept()]})
+            "work_fence": work.fence, "work": [self.work_record(record) for record in work.kept()]}
+
+    def put(self, image: dict[str, object]) -> None:
+        """Put all of it into one file; then the log is emptied."""
+        write_whole(self.snapshot_path, image)
         self.records.empty()
 
     def close(self) -> None:
         self.records.close()
-        os.close(self.lock)
+        self.tenure.end()
--- a/steward/server.py
+++ b/steward/server.py
@@ -8,7 +8,8 @@
 import asyncio
 import hmac
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -18,6 +19,7 @@
 from steward.config import Config
 from steward.messages import MOST_OPS, Answer, Ask, WorkAnswer, WorkAsk, holder_of
 from steward.state import Issued, RefusedError, State
+from steward.tenure import LostError
 from steward.wire import (
     FULL,
     PATH,
@@ -53,19 +55,22 @@
         return web.Response(status=400, text=f"{error}\n")
     except FullError as error:
         return web.Response(status=507, text=f"the grant cannot be kept: {error}\n")
+    except LostError as error:
+        return web.Response(status=503, text=f"{error}\n")
 
 
 class Service:
     """One steward that answers."""
 
-    def __init__(self, book: Book, config: Config, secret: bytes) -> None:
+    def __init__(self, book: Book, config: Config, secret: bytes, lost: asyncio.Event) -> None:
+        """`lost` is set once another process has the office, by whoever finds out first."""
         self.book, self.config, self.secret = book, config, secret
         self.state: State
         self.work: Work
         self.state, self.work = book.open(config)
         self.waiting: list[tuple[Ask | WorkAsk, asyncio.Future[Answer | WorkAnswer]]] = []
         self.unkept: list[Record] = []  # of work, decided on and not in the log: kept before anything is told
-        self.woken = asyncio.Event()
+        self.woken, self.lost = asyncio.Event(), lost
         self.commits = self.asks = self.streams = 0
         self.app = web.Application(middlewares=[refusals], client_max_size=MOST_BODY)
         self.app.add_routes([web.post(PATH, self.renew), web.post(WORK_PATH, self.do_work),
@@ -73,8 +78,7 @@
         self.app.cleanup_ctx.append(self.running)
 
     async def running(self, _: web.Application) -> object:
-        tasks = [asyncio.create_task(self.commit()), asyncio.create_task(self.tick()),
-                 asyncio.create_task(self.look())]
+        tasks = [asyncio.create_task(job()) for job in (self.commit, self.tick, self.look)]
         yield
         for task in tasks:
             task.cancel()
@@ -140,12 +144,16 @@
             return frame(self.secret, f"no ask: {error}".encode(), REFUSED)
         except RefusedError as error:
             return frame(self.secret, str(error).encode(), REFUSED)
+        except LostError as error:
+            raise EOFError from error  # its door goes to whoever has taken over
         except FullError as error:
             return frame(self.secret, str(error).encode(), FULL)
         return frame(self.secret, msgspec.msgpack.encode(said))
 
     def decided(self, ask: Ask | WorkAsk) -> asyncio.Future[Answer | WorkAnswer]:
         """Take an ask in; the answer comes once what it has brought about is kept."""
+        if self.lost.is_set():
+            raise LostError("another steward has taken over")
         answer: asyncio.Future[Answer | WorkAnswer] = asyncio.get_running_loop().create_future()
         self.waiting.append((ask, answer))
         self.woken.set()
@@ -174,21 +182,24 @@
             except FullError as error:  # in the state grants count as given, until they lapse
                 log.error("grants and work cannot be kept: %s", error)
                 self.unkept = [*self.work.undo(kept), *self.unkept]
-                for future, _ in answers:
-                    if not future.done():
-                        future.set_exception(FullError(str(error)))
+                turn_away(answers, FullError(str(error)))
                 continue
+            except LostError as error:  # what is decided here was told to nobody, and never will be
+                self.lost.set()
+                turn_away([*answers, *((future, ask) for ask, future in self.waiting)], error)
+                return
             self.commits, self.asks = self.commits + 1, self.asks + len(batch)
             for future, answer in answers:
                 if not future.done():  # its asker may have gone
                     future.set_result(answer)
             if self.book.due() and not self.unkept:
-                self.snapshot()
+                await self.snapshot()
 
-    def snapshot(self) -> None:
+    async def snapshot(self) -> None:
         """Between two commits: nothing is on its way into the log."""
         try:
-            self.book.snapshot(self.state, self.work)
+            image = self.book.image(self.state, self.work)
+            await asyncio.get_running_loop().run_in_executor(None, self.book.put, image)
         except OSError as error:
             log.warning("no snapshot can be written: %s", error.strerror)
 
@@ -248,3 +259,10 @@
         return web.json_response([
             {"name": one.name, "customer": one.customer, "deaths": one.deaths, "at_ms": one.done_ms,
              "request": one.request.decode(errors="replace")} for one in self.work.parked])
+
+
+def turn_away(answers: Iterable[tuple[asyncio.Future[Any], object]], error: Exception) -> None:
+    """Whoever still waits learns why there is no answer."""
+    for future, _ in answers:
+        if not future.done():
+            future.set_exception(error)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,11 +1,14 @@
 """A small driver for the module: settings, a server list and the bookkeeping of a fair world."""
 
 import random
+import shutil
 from collections.abc import Iterable
 from dataclasses import replace
+from pathlib import Path
 
 from fennelwinch import interface as i
 from fennelwinch.rules import Gateway
+from steward.tenure import latest, place
 
 MS, S = 1_000, 1_000_000
 SAFE = i.RequestClass(aim_us=2 * S, deadline_us=6 * S)
@@ -107,3 +110,15 @@
 
     def sent(self) -> int:
         return sum(isinstance(action, i.Send) for world in self.worlds for _, action in world.log)
+
+
+def log_of(folder: Path) -> Path:
+    """The log of a steward's present term."""
+    return place(folder, latest(folder)) / "log"
+
+
+def copied(folder: Path, to: Path, data: bytes) -> Path:
+    """The same folder with another log."""
+    shutil.copytree(folder, to)
+    log_of(to).write_bytes(data)
+    return to
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -18,12 +19,22 @@
 from durable.records import DamageError, FullError
 from model.ledger import Store
 from steward import book as books
-from steward.book import Book, LockedError, begin
+from steward.book import Book, begin
 from steward.client import CallError, Stream
 from steward.config import Config, ConfigError, Kind, read
 from steward.messages import MOST_OPS, Answer, Ask, Begin, Leave, Want, WorkAnswer, WorkAsk
-from steward.state import MOST_LEASE_MS, Terms, granted
+from steward.state import MOST_LEASE_MS, Issued, Terms, granted
+from steward.tenure import (
+    MOST_LOOKS,
+    LockedError,
+    LostError,
+    Tenure,
+    Watch,
+    claim,
+    place,
+)
 from steward.wire import PATH, SIGNATURE, now_ms, sign
+from tests.helpers import copied, log_of
 
 SECRET = "not for anybody else"
 CONFIG = Config(doors=16, lease_ms=1500, budgets=(
@@ -68,7 +79,7 @@
 def grown(folder: Path, now: int, count: int = 6) -> list[int]:
     """A folder with some acknowledged grants; the log's size after each."""
     begin(folder, CONFIG)
-    book = Book(folder)
+    book = Book(claim(folder))
     state, _ = book.open(CONFIG)
     state.set_terms("open", TERMS["open"], now)
     sizes = []
@@ -87,11 +98,10 @@
     tmp_path: Path, still: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(os, "fsync", lambda file: None)  # what a sync would keep is cut off here
-    sizes = grown(tmp_path, still)
-    whole = (tmp_path / "log").read_bytes()
+    sizes = grown(tmp_path / "whole", still)
+    whole = log_of(tmp_path / "whole").read_bytes()
     for cut in range(sizes[2], len(whole) + 1):
-        (tmp_path / "log").write_bytes(whole[:cut])
-        book = Book(tmp_path)
+        book = Book(claim(copied(tmp_path / "whole", tmp_path / f"{cut}", whole[:cut])))
         state, _ = book.open(CONFIG)
         known = sum(size <= cut for size in sizes)
         assert len(list(state.issued())) == known
@@ -106,19 +116,19 @@
 def test_damage_is_one_line_and_a_lost_folder_waits_for_the_longest_lease(
     tmp_path: Path, still: int
 ) -> None:
-    sizes = grown(tmp_path, still)
-    data = bytearray((tmp_path / "log").read_bytes())
-    data[sizes[1] + 20] ^= 1
-    (tmp_path / "log").write_bytes(data)
+    sizes = grown(tmp_path / "whole", still)
+    data = bytearray(log_of(tmp_path / "whole").read_bytes())
+    damaged = bytearray(data)
+    damaged[sizes[1] + 20] ^= 1
     with pytest.raises(DamageError, match="is damaged at byte") as caught:
-        Book(tmp_path).open(CONFIG)
+        Book(claim(copied(tmp_path / "whole", tmp_path / "damaged", damaged))).open(CONFIG)
     assert "\n" not in str(caught.value)
-    fresh = Book(tmp_path / "other")
+    fresh = Book(claim(tmp_path / "other"))
     assert fresh.open(CONFIG)[0].quiet_until_ms == still + MOST_LEASE_MS
-    (tmp_path / "third").mkdir()
-    (tmp_path / "third" / "log").write_bytes((tmp_path / "log").read_bytes()[: sizes[0]])
+    third = copied(tmp_path / "whole", tmp_path / "third", data[: sizes[0]])
+    log_of(third).with_name("snapshot").unlink()
     with pytest.raises(DamageError, match="is missing, but there is a log"):
-        Book(tmp_path / "third").open(CONFIG)
+        Book(claim(third)).open(CONFIG)
 
 
 def test_what_was_granted_before_a_restart_of_the_machine_has_the_longest_lease(
@@ -126,36 +136,120 @@
 ) -> None:
     grown(tmp_path, still)
     monkeypatch.setattr(books, "boot", lambda: "another")
-    book = Book(tmp_path)
+    book = Book(claim(tmp_path))
     state, _ = book.open(CONFIG)
     ends = {one.until_ms for _, _, one in state.issued()}
     assert ends == {still + MOST_LEASE_MS} and state.quiet_until_ms == still + MOST_LEASE_MS
     book.close()
 
 
+def held_by(book: Book) -> list[tuple[str, str, Issued]]:
+    return sorted(book.open(CONFIG)[0].issued(), key=lambda one: one[2].fence)
+
+
 def test_a_snapshot_takes_the_logs_place_and_one_process_has_a_folder(tmp_path: Path, still: int) -> None:
     grown(tmp_path, still)
-    book = Book(tmp_path)
-    state, work = book.open(CONFIG)
-    before = sorted(state.issued(), key=lambda one: one[2].fence)
-    book.snapshot(state, work)
-    assert (tmp_path / "log").stat().st_size == 0
+    book = Book(claim(tmp_path))
+    before = held_by(book)
+    assert len(before) == 6 and log_of(tmp_path).stat().st_size == 0
     with pytest.raises(LockedError, match="another steward"):
-        Book(tmp_path)
+        claim(tmp_path)
     book.close()
-    again = Book(tmp_path)
-    assert sorted(again.open(CONFIG)[0].issued(), key=lambda one: one[2].fence) == before
+    again = Book(claim(tmp_path))
+    assert held_by(again) == before
     again.close()
     with pytest.raises(LockedError, match="there is a history"):
         begin(tmp_path, CONFIG)
+    after = Book(claim(tmp_path))  # which has begun a term, and told nobody anything
+    assert held_by(after) == before
+    after.close()
+
+
+def test_a_folder_from_before_there_were_terms_is_gone_on_with(tmp_path: Path, still: int) -> None:
+    grown(tmp_path / "now", still)
+    (tmp_path / "then").mkdir()
+    for name in ("log", "snapshot", "lock"):
+        (place(tmp_path / "now", 2) / name).rename(tmp_path / "then" / name)
+    book = Book(claim(tmp_path / "then"))
+    assert len(held_by(book)) == 6 and [path.name for path in (tmp_path / "then").iterdir()] == ["term-1"]
+    book.close()
+
+
+# --- terms of office ---
+
+
+def test_who_was_passed_over_keeps_nothing_more_and_its_successor_knows_all_it_told(
+    tmp_path: Path, still: int
+) -> None:
+    grown(tmp_path, still)
+    old = Book(claim(tmp_path))
+    before = held_by(old)
+    told = ("open", "7/1", Issued(10**18, 3, still + 1500))
+    old.append([told])
+    late = Tenure(tmp_path, old.tenure.number)  # as a standby that has seen no sign of life
+    with pytest.raises(LostError, match="taken over"):
+        old.append([("open", "8/1", Issued(10**18 + 1, 3, still + 1500))])
+    assert not old.tenure.holds() and late.holds()
+    new = Book(late)
+    known = held_by(new)
+    # What was kept and never told may be there too.
+    assert [one for one in known if one[1] != "8/1"] == [*before, told]
+    with pytest.raises(LockedError):
+        Tenure(tmp_path, old.tenure.number)  # for one process alone
+    old.close()
+    new.close()
+    last = Book(claim(tmp_path))
+    assert held_by(last) == known
+    last.close()
+
+
+def test_a_term_whose_process_died_before_it_told_anything_is_passed_over(tmp_path: Path, still: int) -> None:
+    grown(tmp_path, still)
+    for _ in range(3):
+        tenure = claim(tmp_path)
+        tenure.end()
+    book = Book(claim(tmp_path))
+    assert len(held_by(book)) == 6 and [path.name for path in tmp_path.iterdir()] == ["term-6"]
+    book.close()
+
+
+def test_a_folder_that_was_lost_and_made_again_is_not_the_same_term(tmp_path: Path, still: int) -> None:
+    begin(tmp_path / "data", CONFIG)
+    old = Book(claim(tmp_path / "data"))
+    old.open(CONFIG)
+    shutil.rmtree(tmp_path / "data")
+    assert not old.tenure.holds()
+    new = claim(tmp_path / "data")
+    again = Tenure(tmp_path / "data", new.number)
+    assert again.number == old.tenure.number and again.holds()
+    with pytest.raises(LostError):
+        old.append([])
+    for one in (old, new, again):
+        (one.close if isinstance(one, Book) else one.end)()
+
+
+def test_a_standby_goes_by_signs_of_life_and_not_by_its_own_time(tmp_path: Path) -> None:
+    tenure = claim(tmp_path)
+    watch = Watch(tmp_path)
+    for number in range(3 * MOST_LOOKS):
+        os.utime(tenure.place, ns=(number, number))
+        assert watch.over() is None
+    tenure.beat()
+    assert tenure.place.stat().st_mtime_ns > 3 * MOST_LOOKS and watch.over() is None
+    looks = [watch.over() for _ in range(MOST_LOOKS)]
+    assert looks == [None] * (MOST_LOOKS - 1) + [1]  # none was seen in so many looks
+    tenure.end()
+    assert Watch(tmp_path).over() == 1  # its process has ended
 
 
 def test_a_full_disk_leaves_the_log_as_it_was(
     tmp_path: Path, still: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    sizes = grown(tmp_path, still)
-    book = Book(tmp_path)
+    grown(tmp_path, still)
+    book = Book(claim(tmp_path))
     state, _ = book.open(CONFIG)
+    book.append(list(state.issued())[:1])
+    size = log_of(tmp_path).stat().st_size
 
     def full(file: int) -> None:
         raise OSError(28, "No space left on device")
@@ -164,7 +258,7 @@
     with pytest.raises(FullError, match="No space left"):
         book.append(list(state.issued())[:1])
     monkeypatch.undo()
-    assert (tmp_path / "log").stat().st_size == sizes[-1]
+    assert size > 0 and log_of(tmp_path).stat().st_size == size
     book.close()
 
 
@@ -173,10 +267,11 @@
 
 @dataclass
 class Fleet:
-    """A steward with its standby, and holders, each a process of its own."""
+    """A steward with its standbys, and holders, each a process of its own."""
 
     folder: Path
     stewards: list[Process] = field(default_factory=list)
+    standbys: list[subprocess.Popen[bytes]] = field(default_factory=list)
     addresses: list[tuple[str, int]] = field(default_factory=list)
     holders: dict[int, Process] = field(default_factory=dict)
     starts: int = 0
@@ -193,10 +288,21 @@
         self.stewards.append(process)
         return process
 
-    def standby(self, number: int) -> subprocess.Popen[bytes]:
+    def standby(self, number: int) -> None:
         """Started, and not waited for: it serves once the other has gone."""
-        return subprocess.Popen([sys.executable, *self.words(number)], cwd=ROOT, stdout=subprocess.DEVNULL,
-                                stderr=subprocess.DEVNULL)
+        self.standbys.append(subprocess.Popen([sys.executable, *self.words(number)], cwd=ROOT,
+                                              stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL))
+
+    def kill_standbys(self) -> None:
+        for process in self.standbys:
+            process.kill()
+            process.wait()
+        self.standbys.clear()
+
+    def granted_after(self, moment: int, part: int = 50) -> bool:
+        """Whether so much is held by grants that were all taken over later than that."""
+        return self.held("open") >= part and all(
+            record["at"] > moment for record in self.last("open").values())
 
     async def holder(self, door: int, demand: int = 1000) -> None:
         self.starts += 1
@@ -216,13 +322,15 @@
 
     def held(self, budget: str, door: int | None = None) -> int:
         """What holders may use now, by what they noted."""
-        now, last = now_ms(), {}
-        for record in self.records():
-            if record["kind"] == "held" and record["budget"] == budget:
-                last[record["door"], record["mark"]] = record
-        return sum(record["part"] for (who, _), record in last.items()
+        now = now_ms()
+        return sum(record["part"] for (who, _), record in self.last(budget).items()
                    if record["until"] > now and door in (None, who))
 
+    def last(self, budget: str) -> dict[tuple[int, int], dict]:
+        """Each holder's last grant."""
+        return {(record["door"], record["mark"]): record for record in self.records()
+                if record["kind"] == "held" and record["budget"] == budget}
+
     async def until(self, holds: Callable[[], bool]) -> None:
         async with asyncio.timeout(30):
             while not holds():
@@ -231,26 +339,24 @@
 
 @contextlib.asynccontextmanager
 async def fleet(folder: Path, holders: int) -> AsyncIterator[Fleet]:
-    hosts = [f"127.77.{os.getpid() % 256}.{number}" for number in (1, 2)]
+    hosts = [f"127.77.{os.getpid() % 256}.{number}" for number in (1, 2, 3)]
     found = Fleet(folder, addresses=[(host, free_port(host=host)) for host in hosts])
     (folder / "c.toml").write_text(
         "doors = 16\nlease_ms = 1500\n[[budgets]]\nname = 'rate/*'\nrate = 200.0\nburst = 40\n"
         "[[budgets]]\nname = 'open'\nopen = 64\n")
     (folder / "secret").write_text(SECRET)
     begin(folder / "data", CONFIG)
-    standby = None
     try:
         await found.steward(0)
-        standby = found.standby(1)
+        found.standby(1)
+        found.standby(2)
         await asyncio.gather(*(found.holder(door) for door in range(holders)))
         yield found
     finally:
         for process in (*found.stewards, *found.holders.values()):
             process.kill()
             await process.process.wait()
-        if standby is not None:
-            standby.kill()
-            standby.wait()
+        found.kill_standbys()
 
 
 def most_held(records: list[dict], budget: str) -> int:
@@ -314,6 +420,54 @@
     run(act, tmp_path, 6)
 
 
+def test_a_steward_that_hangs_is_passed_over_and_harms_nobody_when_it_wakes(tmp_path: Path) -> None:
+    async def act(found: Fleet) -> None:
+        await found.until(lambda: found.held("open") >= 50)
+        found.stewards[0].process.send_signal(signal.SIGSTOP)
+        stopped = now_ms()
+        await found.until(lambda: found.granted_after(stopped + 1500))
+        found.stewards[0].process.send_signal(signal.SIGCONT)  # with asks in hand
+        woke = now_ms()
+        await found.until(lambda: found.granted_after(woke))
+        found.kill_standbys()  # it stands by, and is the last one that is left
+        killed = now_ms()
+        await found.until(lambda: found.granted_after(killed + 1500))
+
+    run(act, tmp_path, 6)
+
+
+def test_three_stewards_killed_one_by_one_and_all_at_once_at_any_moment(tmp_path: Path) -> None:
+    async def act(found: Fleet) -> None:
+        await found.until(lambda: found.held("open") >= 50)
+        for turn in range(6):
+            await asyncio.sleep(0.11 * turn)
+            if turn % 2:  # one of them, whichever has the office
+                found.standbys[turn % len(found.standbys)].kill()
+            else:
+                for process in (*found.stewards, *found.standbys):
+                    process.kill()
+            found.standby(turn % 3)
+            found.standby((turn + 1) % 3)
+        killed = now_ms()
+        await found.until(lambda: found.granted_after(killed))
+
+    run(act, tmp_path, 5)
+
+
+def test_a_folder_lost_under_a_living_steward_is_waited_out_by_whoever_comes(tmp_path: Path) -> None:
+    async def act(found: Fleet) -> None:
+        await found.until(lambda: found.held("open") >= 50)
+        (found.folder / "data").rename(found.folder / "gone")
+        lost = now_ms()
+        await found.until(lambda: found.granted_after(lost + MOST_LEASE_MS))
+        # What was asked for since then: a lease ends 2% early.
+        later = [record["at"] for record in found.records() if record["kind"] == "held"
+                 and record["until"] - CONFIG.lease_ms * 49 // 50 > lost]
+        assert min(later) >= lost + MOST_LEASE_MS
+
+    run(act, tmp_path, 4)
+
+
 def test_parts_of_the_dead_and_the_paused_are_used_elsewhere_and_never_twice(tmp_path: Path) -> None:
     async def act(found: Fleet) -> None:
         await found.until(lambda: found.held("open") >= 50)
@@ -386,8 +540,8 @@
         with pytest.raises(CallError, match=f"{MOST_OPS} ops at most"):
             await stream.call(WorkAsk(door=0, mark=1, serial=1, ops=many))
         # All on one connection, which goes on.
-        begin_ = Begin(name="n", id="i", digest="d", customer="c", effect="keyed", left_ms=1000,
-                       window_ms=1000, request=b"r", server="s", place="p")
+        begin_ = Begin(name="n", id="i", digest="d", customer="c", effect="keyed", left_ms=60_000,
+                       window_ms=60_000, request=b"r", server="s", place="p")
         answer = msgspec.msgpack.decode(await stream.call(WorkAsk(door=0, mark=1, serial=2, ops=(begin_,))),
                                         type=WorkAnswer)
         assert [one.how for one in answer.told] == ["kept"]
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -26,10 +26,11 @@
     WorkAnswer,
     WorkAsk,
 )
-from steward.state import RefusedError
+from steward.state import Issued, RefusedError
+from steward.tenure import claim
 from steward.wire import FULL, GOOD, FrameError, Frames, frame, now_ms
 from steward.work import MOST_DEATHS, MOST_OF_CUSTOMER, MOST_REQUEST, MOST_VALUE, Work, weight
-from tests.helpers import SETTINGS, S, World, of, servers
+from tests.helpers import SETTINGS, S, World, copied, log_of, of, servers
 
 START = 1_000_000
 CONFIG = Config(budgets=())
@@ -370,7 +371,7 @@
 def grown(folder: Path) -> tuple[list[int], list[list[tuple[object, ...]]]]:
     """A log of a life of two doors, with its size and the state after each ask."""
     begin(folder, CONFIG)
-    book = Book(folder)
+    book = Book(claim(folder))
     _, found = book.open(CONFIG)
     hands, now, sizes, states = [Hand(0, 1), Hand(1, 1)], now_ms(), [], []
 
@@ -399,11 +400,10 @@
     monkeypatch.setattr(os, "fsync", lambda file: None)  # what a sync would keep is cut off here
     still = now_ms()
     monkeypatch.setattr(books, "now_ms", lambda: still)
-    sizes, states = grown(tmp_path)
-    whole = (tmp_path / "log").read_bytes()
+    sizes, states = grown(tmp_path / "whole")
+    whole = log_of(tmp_path / "whole").read_bytes()
     for cut in range(sizes[0], len(whole) + 1):
-        (tmp_path / "log").write_bytes(whole[:cut])
-        book = Book(tmp_path)
+        book = Book(claim(copied(tmp_path / "whole", tmp_path / f"{cut}", whole[:cut])))
         _, found = book.open(CONFIG)
         told = sum(size <= cut for size in sizes)
         if cut in sizes:
@@ -414,12 +414,10 @@
         assert all(found.is_alive(one.owner, still) or found.is_replaced(one.owner)
                    for one in found.intents.values() if one.owner)
         book.close()
-    (tmp_path / "log").write_bytes(whole)
-    book = Book(tmp_path)
-    state, found = book.open(CONFIG)
-    book.snapshot(state, found)
+    book = Book(claim(tmp_path / "whole"))
+    _, found = book.open(CONFIG)  # which is kept as a snapshot
     book.close()
-    book = Book(tmp_path)
+    book = Book(claim(tmp_path / "whole"))
     assert state_of(book.open(CONFIG)[1]) == state_of(found)
     book.close()
 
@@ -428,14 +426,16 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     grown(tmp_path)
-    book = Book(tmp_path)
+    book = Book(claim(tmp_path))
     state, found = book.open(CONFIG)
     assert not book.due()
+    for number in range(5):
+        book.append([("open", f"{number}/1", Issued(number, 1, 1))])
     for name in ("MOST_RECORDS", "MOST_LOG_BYTES"):
         with monkeypatch.context() as small:
             small.setattr(books, name, 5)
             assert book.due()
-    book.snapshot(state, found)
+    book.put(book.image(state, found))
     assert not book.records.size and not book.due()
     book.close()
 
@@ -443,7 +443,7 @@
 def test_work_of_another_boot_is_over(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     grown(tmp_path)
     monkeypatch.setattr(books, "boot", lambda: "another")
-    book = Book(tmp_path)
+    book = Book(claim(tmp_path))
     assert not book.open(CONFIG)[1].intents
     book.close()
 
