Play three stewards on the rig, and add up what doors may believe in at every moment

Need: the guarantee of the steward was held against histories of stand-in holders alone; no play had several stewards, and nothing read from outside what real front doors are granted.

Change: a plan says how many stewards stand by on one folder (stewards, 1 to 3). Relays between doors and stewards read asks and answers as they go by (rig/leases.py); a grant counts until its lease is over or its door asks with a later one in hand, so that no door believes in more than is counted. A checker, budgets, holds the sum against what is granted of the whole, and fences against use for two grants; nothing is excused. Random plans have stewards too.

--- a/bench/process.py
+++ b/bench/process.py
@@ -224,13 +224,23 @@
         await found.process.wait()
 
 
+async def spawn(words: Sequence[str], log: Path, **more: Any) -> asyncio.subprocess.Process:  # noqa: ANN401
+    """A Python program of the project's own, in a group of its own; it dies with this process."""
+    with log.open("ab") as errors:
+        return await asyncio.create_subprocess_exec(
+            sys.executable, *words, cwd=ROOT, stderr=errors, start_new_session=True,
+            preexec_fn=die_with_parent, **more)
+
+
+async def start_quiet(words: Sequence[str], log: Path, address: Address) -> Process:
+    """A program that is not waited for, as it serves at `address` only once its turn has come."""
+    return Process(await spawn(words, log, stdout=asyncio.subprocess.DEVNULL), log, address)
+
+
 async def start_program(words: Sequence[str], log: Path, **more: Any) -> tuple[Process, str]:  # noqa: ANN401
     """A Python program of the project's own that prints one line once it serves, with its address at the end
     where it has one: the process and that line. One that ends before is a BenchError."""
-    with log.open("ab") as errors:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=errors,
-            start_new_session=True, preexec_fn=die_with_parent, **more)
+    process = await spawn(words, log, stdout=asyncio.subprocess.PIPE, **more)
     found = Process(process, log, (HOST, 0))
     try:
         line = (await asyncio.wait_for(process.stdout.readline(), READY_S)).decode().strip()
--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -19,8 +19,9 @@
 from model.experiment import BROKEN
 from rig.deaths import EFFECTS, POINTS, deaths, table
 from rig.errors import RigError
+from rig.leases import divided
 from rig.plan import as_scenario, known, load
-from rig.runs import Run, keep, kept, rows, run, show
+from rig.runs import Run, keep, kept, rows, run, show, text
 
 MOST_SEED = 2**53
 
@@ -211,6 +212,29 @@
         sys.exit(BROKEN)
 
 
+@cli.command("budgets")
+@click.argument("plan", default="stewards")
+@SEEDS
+@FIRST
+def budgets_(plan: str, seeds: int, first: int) -> None:
+    """PLAN, in which stewards divide budgets: what doors may believe in, at most, and how soon the part of a
+    door that has died is in use elsewhere. A line for each seed."""
+    wanted = load(plan)
+    if not wanted.steward:
+        raise RigError(f"{wanted.name}: no steward divides anything in it")
+    tree, wrong = prepare(ROOT), False
+    click.echo("seed  most held  regained s  not regained  renewals  stewards  served  broken")
+    for seed in range(first, first + seeds):
+        found = run(wanted, seed, tree, say, twin=False)
+        told(found)
+        count, one = len(found.violations), divided(found.seen)
+        wrong = wrong or bool(count)
+        click.echo(f"{seed:4}  {one.most_held:9.3f}  {text(one.regained_s):>10}  {one.unregained:12}  "
+                   f"{one.renewals:8}  {one.stewards:8}  {found.figures.served:6.3f}  {count:6}")
+    if wrong:
+        sys.exit(BROKEN)
+
+
 @cli.command("deaths")
 @click.option("--deaths", "count", type=click.IntRange(1, 10_000), default=10, show_default=True,
               help="At each point, of each kind of class, and seed.")
--- a/rig/checks.py
+++ b/rig/checks.py
@@ -16,6 +16,7 @@
 from model.ledger import Account
 from molereach.keep import MOST_AGE_S
 from rig.history import Record
+from rig.leases import overfull
 from rig.plan import ON_LINKS, Plan
 from rig.world import World
 
@@ -266,6 +267,12 @@
     return found
 
 
+def budgets(seen: Seen) -> list[Violation]:
+    """What all doors may believe in of a budget is never more than what is granted of the whole. Nothing is
+    excused: it holds for whoever is dead, paused or cut off."""
+    return [Violation("budgets", at, text) for at, text in overfull(seen)]
+
+
 def stale(seen: Seen) -> list[Violation]:
     """No door goes by a snapshot that is older than its bound."""
     return [Violation("stale state", record["at"], f"door {record['door']} took up state of {age} s ago")
@@ -290,7 +297,7 @@
 
 CHECKS: dict[str, Callable[[Seen], list[Violation]]] = {
     check.__name__: check
-    for check in (one_answer, executions, kept_work, one_attempt, drains, quotas, stale, processes)
+    for check in (one_answer, executions, kept_work, one_attempt, drains, quotas, budgets, stale, processes)
 }
 
 
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -18,12 +18,13 @@
 import tomli_w
 
 from bench.errors import BenchError
-from bench.process import Process, Tree, free_port, start_door, start_program
+from bench.process import Process, Tree, free_port, start_door, start_program, start_quiet
 from bench.standins import text
 from model.clock import Clock
 from molereach.keep import HEAD, Snapshot, pack
 from rig.errors import RigError
 from rig.history import Writer
+from rig.leases import Renewals
 from rig.listing import Listing
 from rig.plan import Fault, Plan
 from rig.program import Told
@@ -53,6 +54,7 @@
         self.kind, self.number, self.zone, self.folder, self.begin = kind, number, zone, folder, start
         self.name = f"{kind}-{number}"
         self.process: Process | None = None
+        self.place: Address = ("", 0)  # where a steward listens, which is told before it does
         self.meant = False  # to end, or to be down
         self.cold = False
         self.clock_s = 0.0
@@ -61,8 +63,9 @@
 
     @property
     def state(self) -> Path:
-        """The folder of what it stores."""
-        return self.folder / "state"
+        """The folder of what it stores; stewards have one together."""
+        own = self.folder if self.kind != "steward" else self.folder.with_name("steward-0")
+        return own / "state"
 
     @property
     def running(self) -> bool:
@@ -140,7 +143,8 @@
         if plan.follower:
             self.add("follower", 0, 0, self.start_follower)
         if plan.has_steward:
-            self.add("steward", 0, 0, self.start_steward)
+            for number in range(plan.stewards):
+                self.add("steward", number, 0, self.start_steward)
         for number in range(plan.fleet.servers.count):
             self.add("servers", number, number % net.zones, self.start_scan)
         for number in range(plan.fleet.doors):
@@ -224,7 +228,7 @@
         """Where a service listens: at a port that the system chose, the same one each time."""
         if member.process:
             return text(member.process.address)
-        return text((f"{self.prefix}.{SERVICES[member.kind]}", 0))
+        return text((f"{self.prefix}.{SERVICES[member.kind] + member.number}", 0))
 
     async def start_list(self, member: Member) -> Process:
         words = ("-m", "roster", "--data", str(member.state), "--listen", self.listen(member))
@@ -241,7 +245,9 @@
         return process
 
     async def start_steward(self, member: Member) -> Process:
-        config, secret = member.folder / "budgets.toml", member.folder / "secret"
+        """The first one is waited for; where there are others, nobody knows who will have the office."""
+        folder = self.members["steward-0"].folder
+        config, secret = folder / "budgets.toml", folder / "secret"
         if not config.exists():
             plans = zip(self.plan.fleet.plans, self.world.plans, strict=True)
             config.write_text(tomli_w.dumps({
@@ -252,21 +258,34 @@
             secret.write_text(f"{random.Random(self.seed).getrandbits(256):064x}")
             begin(member.state, read_config(config))
         words = ("-m", "steward", "serve", "--data", str(member.state), "--config", str(config), "--secret",
-                 str(secret), "--listen", self.listen(member))
-        process, _ = await start_program(words, member.folder / "log")
+                 str(secret), "--listen")
+        if self.plan.stewards == 1:
+            process, _ = await start_program((*words, self.listen(member)), member.folder / "log")
+            return process
+        if member.process is None:
+            host = f"{self.prefix}.{SERVICES['steward'] + member.number}"
+            member.place = host, free_port(host=host)
+        words = (*words, text(member.place), "--standby")
+        if member.process is None and member.number == 0:
+            process, _ = await start_program(words, member.folder / "log")
+        else:
+            process = await start_quiet(words, member.folder / "log", member.place)
         return process
 
     def steward_of(self, door: str) -> dict[str, Any]:
-        """What a door is told of the steward, at the relay to it."""
+        """What a door is told of the stewards, at the relays to them; each door begins at another one."""
         if not self.plan.has_steward:
             return {}
-        member = self.members["steward-0"]
-        relay = self.relay("doors-steward", door, member.name, member.process.address)
-        told = {"addresses": text(relay.address), "secret_file": str(member.folder / "secret")}
-        found: dict[str, Any] = {"steward": {**told, "lease_ms": LEASE_MS}} if self.plan.steward else {}
+        found = self.of("steward")
+        relays = [text(self.relay("doors-steward", door, one.name, one.process.address, Renewals).address)
+                  for one in found]
+        at = self.members[door].number % len(relays)
+        told = {"addresses": ",".join(relays[at:] + relays[:at]),
+                "secret_file": str(found[0].folder / "secret")}
+        config: dict[str, Any] = {"steward": {**told, "lease_ms": LEASE_MS}} if self.plan.steward else {}
         if self.plan.takeover:
-            found["takeover"] = {**told, "classes": list(self.plan.takeover)}
-        return found
+            config["takeover"] = {**told, "classes": list(self.plan.takeover)}
+        return config
 
     async def start_own(self, member: Member, module: str, **values: Any) -> Process:  # noqa: ANN401
         """One of the rig's own programs."""
@@ -346,7 +365,9 @@
             await self.start(self.members["list-0"])
             if self.plan.follower:
                 await self.start(self.members["follower-0"])
-            await self.together([*self.of("steward"), *self.of("servers")])
+            if self.plan.has_steward:
+                await self.start(self.members["steward-0"])
+            await self.together([*self.of("steward")[1:], *self.of("servers")])
             await self.together(self.of("doors"))
             await self.together(self.of("clients"))
 
--- a/rig/history.py
+++ b/rig/history.py
@@ -13,6 +13,7 @@
 | `fell` | scan servers | sent too much while cold, it has fallen over |
 | `open` | relays | a connection, by link and sides |
 | `sent` | relays | a request's first bytes from a door on their way to a scan server |
+| `asked`, `granted` | relays | a door's ask for parts of budgets, and a steward's answer, as they go by |
 | `told` | relays | a change of the list, as it was written to a door |
 | `words` | relays | datagrams between doors in a tenth of a second |
 | `go` | rig | when the load begins and ends |
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -91,6 +91,7 @@
     follower: bool = True  # a second list service, which every other door reads
     lease_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 3.0
     steward: bool = False  # ceilings are divided by leases; else by fixed parts and words
+    stewards: Annotated[int, msgspec.Meta(ge=1, le=3)] = 1  # processes: one serves, others stand by
     takeover: tuple[str, ...] = ()  # classes of which work in hand is kept by a steward, for another door
     state: bool = False  # doors keep a snapshot (`state_dir`)
     limits: Limits = Limits()
@@ -129,7 +130,7 @@
         raise RigError(f"{name}: at most {MOST_DOORS} doors for {MOST_LENGTH_S} s")
     counts: dict[str, Count] = {"doors": fleet.doors, "servers": fleet.servers.count, "clients": plan.clients,
                                 "list": 1, "follower": int(plan.follower),
-                                "steward": int(plan.has_steward)}
+                                "steward": plan.stewards if plan.has_steward else 0}
     for fault in plan.faults:
         if fault.at_s > fleet.length_s:
             raise RigError(f"{name}: {fault.kind} begins after the end")
--- a/rig/soak.py
+++ b/rig/soak.py
@@ -43,9 +43,10 @@
         servers=Servers(count=chance.randint(2, MOST_SERVERS)), net=Net(zones=chance.randint(1, 2)),
         demand=Demand(load=(0.2, 0.5)))
     kept = ("submit-record",) if chance.random() < 0.5 else ()
-    faults = tuple(draw_fault(chance, bool(kept)) for _ in range(chance.randint(1, MOST_FAULTS)))
+    leased = chance.random() < 0.5
+    faults = tuple(draw_fault(chance, bool(kept) or leased) for _ in range(chance.randint(1, MOST_FAULTS)))
     return Plan(name=name, fleet=fleet, faults=faults, clients=chance.randint(1, 2),
-                state=chance.random() < 0.5, takeover=kept)
+                state=chance.random() < 0.5, takeover=kept, steward=leased, stewards=chance.randint(1, 3))
 
 
 def draw_fault(chance: random.Random, steward: bool) -> Fault:
@@ -80,6 +81,10 @@
         yield replace(plan, state=False)
     if plan.takeover:
         yield replace(plan, takeover=())
+    if plan.steward:
+        yield replace(plan, steward=False)
+    if plan.stewards > 1:
+        yield replace(plan, stewards=1)
     for doors in {2, fleet.doors // 2, fleet.doors - 1}:
         if 2 <= doors < fleet.doors:
             yield replace(plan, fleet=replace(fleet, doors=doors))
--- a/tests/test_rig_checks.py
+++ b/tests/test_rig_checks.py
@@ -72,7 +72,8 @@
 def test_a_history_in_order_breaks_nothing() -> None:
     assert found() == set()
     assert set(CHECKS) == {
-        "one_answer", "executions", "kept_work", "one_attempt", "drains", "quotas", "stale", "processes"}
+        "one_answer", "executions", "kept_work", "one_attempt", "drains", "quotas", "budgets", "stale",
+        "processes"}
 
 
 LOST = ask("x", 8 * S)
