Divide the fleet's further attempts by leases, refilled with time, with the store of ceilings

The store of a leased ceiling was spread over seven fields of a customer.

Change: one Store in fennelwinch/allowances.py for whatever is divided by leases; a customer's ceiling has one, and the gateway one for further attempts where the settings give their rate and burst (steward.further_attempts in a front door's file; off by default). Budgets are told by a key. The rig's plans may divide them (further), and a checker holds the further attempts that came to all scan servers together against one store of the whole.

--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -121,6 +121,10 @@
     fall_multiple: float = 1.0
     fall_us: int = 1
     leased: bool = False  # ceilings are divided by a steward's leases, not by fixed parts and words
+    # Further attempts of all gateways together, a second and at once, divided in the same way; 0: each lives
+    # on a share of its own first ones.
+    further_rate: float = 0.0
+    further_burst: float = 0.0
 
 
 # --- what comes in ---
@@ -340,15 +344,16 @@
     age_us: int
 
 
+# A budget that is divided by leases: a customer's ceiling, by customer, plan and set; none: further attempts.
+Key = tuple[int, int, int, int] | None
+
+
 @dataclass(frozen=True, slots=True)
 class Wanted:
-    """A customer whose ceiling a part is needed of: the demand for it here, in units a second, the units that
-    no longer fitted in with the last grant, and those that requests wait for now."""
+    """A budget that a part is needed of: the demand for it here, in units a second, the units that no longer
+    fitted in with the last grant, and those that something waits for now."""
 
-    customer: int
-    plan_index: int
-    set_first: int
-    set_size: int
+    key: Key
     demand: float
     back: int = 0
     need: float = 0.0
@@ -356,12 +361,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Allowance:
-    """A steward's grant: a share of a customer's ceiling until a time, and units that come with it."""
+    """A steward's grant: a share of a budget until a time, and units that come with it."""
 
-    customer: int
-    plan_index: int
-    set_first: int
-    set_size: int
+    key: Key
     share: float
     units: float
     until_us: int
--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -3,8 +3,8 @@
 import math
 from bisect import insort
 
-from fennelwinch import allowances
 from fennelwinch import interface as i
+from fennelwinch.allowances import Store
 from fennelwinch.base import NEVER, TICK_US, Job, S
 from fennelwinch.cap import Cap
 from fennelwinch.starts import Starts
@@ -18,16 +18,14 @@
 # A set of many splits it into less than a unit each. The rest is left for grants told while others are used.
 CEILING_SPLIT, CEILING_HOME, GRANT_FRESH_US = 0.5, 0.4, 500_000
 SPACE_US = 80_000  # between words to one peer, at most
-RATE_US = 2 * S  # over which a customer's demand is smoothed for a steward
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 
 
 class Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    __slots__ = ("asked_rate", "asked_us", "at", "back", "blind", "ceiling", "ceiling_at", "ceiling_home",
-                 "ceiling_part", "grants", "heard_us", "home", "key", "leased", "level", "others", "out",
-                 "own", "part", "plan", "share", "share_until", "size", "spent", "untold")
+    __slots__ = ("at", "blind", "ceiling", "ceiling_home", "ceiling_part", "grants", "heard_us", "home",
+                 "key", "leased", "level", "others", "out", "own", "part", "plan", "size", "spent", "untold")
 
     def __init__(
         self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
@@ -45,11 +43,9 @@
         self.grants = ceiling * self.ceiling_home
         self.heard_us, self.out = -NEVER, 0
         self.blind = False  # what was spent before a restart is not known here
-        self.leased = set_.leased and plan.ceiling_rate > 0
-        self.share, self.share_until, self.ceiling_at = 0.0, -NEVER, now  # of a leased ceiling
-        self.back = 0  # units that the last grant left no room for
-        self.asked_us, self.asked_rate = -NEVER, 0.0  # when it was last asked for; units a second lately
-        if self.leased:
+        self.leased = None  # of a ceiling that is divided by leases
+        if set_.leased and plan.ceiling_rate:
+            self.leased = Store(plan.ceiling_rate, plan.ceiling_burst, self.size, now)
             self.ceiling = self.grants = self.ceiling_part = self.ceiling_home = 0.0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
 
@@ -65,10 +61,9 @@
         took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
         flow, most = plan.ceiling_rate * took, plan.ceiling_burst
         if self.leased:
-            allowances.refill(self, now)
-        else:
-            self.ceiling = min(most * self.ceiling_part, self.ceiling + flow * self.ceiling_part)
-            self.grants = min(most * self.ceiling_home, self.grants + flow * self.ceiling_home)
+            self.leased.refill(now)
+        self.ceiling = min(most * self.ceiling_part, self.ceiling + flow * self.ceiling_part)
+        self.grants = min(most * self.ceiling_home, self.grants + flow * self.ceiling_home)
         aged = math.exp(-took * S / DEMAND_US)
         self.own *= aged
         if now - self.heard_us > WORD_FRESH_US:
@@ -77,12 +72,6 @@
         self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
         return self
 
-    def asked(self, units: float, now: int) -> None:
-        """Its demand here for the steward: smoothed over a lease or so."""
-        took = min(RATE_US, now - self.asked_us)
-        aged = math.exp(-took / RATE_US)
-        self.asked_rate, self.asked_us = self.asked_rate * aged + units * S / RATE_US, now
-
     @property
     def demand(self) -> float:
         """That of the whole set, as far as it is known."""
@@ -98,7 +87,14 @@
 
     def allows(self, units: float) -> bool:
         """Whether the part of the ceiling here has room."""
-        return not self.plan.ceiling_rate or self.ceiling >= units
+        return not self.plan.ceiling_rate or (self.leased.level if self.leased else self.ceiling) >= units
+
+    def use(self, units: float) -> None:
+        """Take them from the ceiling, as they are sent on."""
+        if self.leased:
+            self.leased.level -= units
+        else:
+            self.ceiling -= units
 
     def grant(self, units: float, chance: float) -> bool:
         """At home: whether the ceiling has room for what somebody asks, who sends it on by that chance."""
@@ -157,7 +153,7 @@
             self.end(job)
             return
         if customer.leased:
-            customer.asked(units, self.now)
+            customer.leased.asked(units, self.now)
         customer.own, customer.untold = customer.own + units, customer.untold + units
         most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
         heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -9,6 +9,7 @@
 
 from fennelwinch import allowances
 from fennelwinch import interface as i
+from fennelwinch.allowances import Store
 from fennelwinch.base import NEVER, TICK_US, Job, S
 from fennelwinch.cap import FAIR_N, MOST_PERIODS
 from fennelwinch.choice import FEW_GATEWAYS, SMOOTH, Backend
@@ -44,6 +45,9 @@
         self.patience_us = [0] * len(settings.classes)  # how long clients wait for their first tries
         self.waits_of = [Patience() for _ in settings.classes]  # what all their tries say
         self.retries = RETRY_STORE / 2
+        # All gateways' further attempts, divided by leases; none: a share of the first ones here.
+        self.further = Store(settings.further_rate, settings.further_burst, settings.gateways, 0) \
+            if settings.further_rate else None
         self.not_again = 0  # further attempts that were not begun in this period, as none was left
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
@@ -54,6 +58,8 @@
         self.now, self.actions = now_us, []
         if self.period_us < 0:
             self.period_us = self.since_us = now_us
+            if self.further:
+                self.further.at = now_us
         if act := self.on.get(type(event)):
             act(event)
         self.send_words()
@@ -248,7 +254,7 @@
         if not (number := len(job.servers)):
             self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
             if self.now >= job.granted_until:
-                job.customer.ceiling -= job.req.units
+                job.customer.use(job.req.units)
         job.servers.append(server)
         job.out[number] = server.out[(job.req.id, number)] = self.now
         server.connections = max(server.connections, len(server.out))
@@ -271,11 +277,15 @@
         late = why is i.Result.MOOT or self.now + self.mean_us[job.req.class_index] / 2 >= job.end_us
         if late or len(job.servers) >= self.set.max_attempts:
             return False
-        if costs and self.retries < 1:
+        if costs and self.further:
+            self.further.asked(1.0, self.now)
+        if costs and (self.further.refill(self.now) if self.further else self.retries) < 1:
             self.not_again += 1
             return False
         if server := self.choose(job):
             self.retries -= costs
+            if self.further:
+                self.further.level -= costs
             self.send(job, server)
         elif job.ran_on is None:
             insort(self.held, (-job.worth, next(self.serial), job))
--- a/molereach/allowance.py
+++ b/molereach/allowance.py
@@ -1,6 +1,6 @@
-"""The front door's side of the steward: asks for parts of ceilings, and hands what is granted to the module.
+"""The front door's side of the steward: asks for parts of budgets, and hands what is granted to the module.
 
-Off unless the configuration names a steward. No request waits for it: asks are batched for all customers, at
+Off unless the configuration names a steward. No request waits for it: asks are batched for all budgets, at
 a third of the lease with jitter, and what comes back is an event like any other.
 """
 
@@ -23,20 +23,21 @@
 if TYPE_CHECKING:
     from molereach.frontdoor import FrontDoor
 
-MOST_WANTED = 2000  # customers in one ask: as many as a steward takes
+MOST_WANTED = 2000  # budgets in one ask: as many as a steward takes
 LOOK_S = 0.1  # between looks for customers that have come
+FURTHER = "further-attempts"  # the budget of all front doors' together
 THOUSANDTHS = 1000  # in which a steward counts units a second
 
 
 class Allowances:
-    """One start's parts of the customers' ceilings."""
+    """One start's parts of the customers' ceilings, and of the fleet's further attempts."""
 
     def __init__(self, door: FrontDoor, config: Config) -> None:
         self.door, self.plans = door, {number: name for name, number in config.plan_numbers.items()}
         chance = random.Random(config.settings.seed)
         # Stores and floors are the module's, by a customer's set; the holder's own are of no use here.
         self.holder = Holder(config.settings.me, chance.getrandbits(63), config.settings.gateways)
-        self.keys: dict[str, tuple[int, int, int, int]] = {}  # of budgets that are asked for
+        self.keys: dict[str, i.Key] = {}  # of budgets that are asked for
         self.taken: dict[str, int] = {}  # by budget: the fence of the grant that was handed on last
         self.needs = 0  # units that were waited for at the last ask
         self.patience_s = self.asked_at = 0.0  # for how long after an ask none is made for units alone
@@ -55,27 +56,34 @@
                 await asyncio.sleep(LOOK_S)
                 wants = wanted(self.door.gateway, now_us())
                 waited = loop.time() >= self.asked_at + self.patience_s
-                if any(self.name(want) not in self.keys or (waited and want.need > 0) for want in wants):
+                if any(self.name(want.key) not in self.keys or (waited and want.need > 0) for want in wants):
                     self.renewer.hurry()
         finally:
             renewing.cancel()
 
-    def name(self, want: i.Wanted) -> str:
-        """A customer's ceiling as the steward knows it."""
-        set_ = f"{want.set_first}.{want.set_size}"
-        return f"ceiling/{self.plans[want.plan_index]}/{set_}/{want.customer:08x}"
+    def name(self, key: i.Key) -> str:
+        """A budget as the steward knows it."""
+        if key is None:
+            return FURTHER
+        customer, plan, first, size = key
+        return f"ceiling/{self.plans[plan]}/{first}.{size}/{customer:08x}"
+
+    def terms(self, key: i.Key) -> Terms:
+        if key is None:
+            settings = self.door.settings
+            return Terms(round(settings.further_rate * THOUSANDTHS), int(settings.further_burst))
+        plan = self.door.settings.plans[key[1]]
+        return Terms(round(plan.ceiling_rate * THOUSANDTHS), int(plan.ceiling_burst))
 
     def prepare(self) -> None:
-        """Tell the holder of all customers that a part is needed for; others are let go of by it."""
+        """Tell the holder of all budgets that a part is needed of; others are let go of by it."""
         now, self.needs, self.asked_at = now_ms(), 0, asyncio.get_running_loop().time()
         for want in wanted(self.door.gateway, now_us())[:MOST_WANTED]:
-            plan = self.door.settings.plans[want.plan_index]
-            name = self.name(want)
-            self.keys[name] = (want.customer, want.plan_index, want.set_first, want.set_size)
-            terms = Terms(round(plan.ceiling_rate * THOUSANDTHS), int(plan.ceiling_burst))
+            name = self.name(want.key)
+            self.keys[name] = want.key
             need = math.ceil(want.need)
             self.needs += need
-            self.holder.use(name, terms, round(want.demand * THOUSANDTHS), now, need)
+            self.holder.use(name, self.terms(want.key), round(want.demand * THOUSANDTHS), now, need)
             self.holder.parts[name].back = want.back  # the store is the module's, and so is what it gave up
         for name in [name for name in self.keys if name not in self.holder.parts]:
             del self.keys[name]
@@ -91,4 +99,4 @@
             if part.fence and part.fence != self.taken.get(name):
                 self.taken[name] = part.fence
                 until_us, share = here + (part.until_ms - now) * 1000, part.part / part.terms.whole
-                self.door.post(i.Allowance(*self.keys[name], share, part.came, until_us))
+                self.door.post(i.Allowance(self.keys[name], share, part.came, until_us))
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -22,6 +22,8 @@
     addresses: tuple[Address, ...]
     secret: bytes
     lease_ms: int
+    further_rate: float = 0.0  # of all front doors' further attempts, a second; 0: not divided
+    further_burst: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +144,12 @@
     lease_ms = int(values.get("lease_ms") or 3000)
     if lease_ms < 500:
         raise ConfigError("the steward's lease_ms is less than 500")
-    return Steward(read_addresses(values["addresses"]), secret, lease_ms)
+    further = values.get("further_attempts") or {"rate": 0, "burst": 0}
+    rate, burst = (further.get(name) if isinstance(further, dict) else None for name in ("rate", "burst"))
+    for value, name in ((rate, "rate"), (burst, "burst")):
+        if type(value) not in (int, float) or not 0 <= value <= 1e6:
+            raise ConfigError(f"the steward's further_attempts have no {name} from 0 to 1000000")
+    return Steward(read_addresses(values["addresses"]), secret, lease_ms, float(rate), float(burst))
 
 
 def path_of(values: Mapping[str, Any], name: str) -> str:
@@ -163,7 +170,9 @@
         name=env.get("PROXY_NAME") or values["name"],
         listen=read_address(env.get("PROXY_LISTEN") or values["listen"]),
         discovery=read_addresses(env.get("PROXY_DISCOVERY") or values["discovery"]),
-        settings=replace(read_settings(int(values["seed"], 16), pairs), leased=steward is not None),
+        settings=replace(read_settings(int(values["seed"], 16), pairs), leased=steward is not None,
+                         further_rate=steward.further_rate if steward else 0.0,
+                         further_burst=steward.further_burst if steward else 0.0),
         class_numbers=numbers(settings["categories"]),
         plan_numbers=numbers(settings["plans"]),
         zone_numbers=numbers(settings.get("zones")),
--- a/rig/checks.py
+++ b/rig/checks.py
@@ -13,7 +13,7 @@
 from itertools import pairwise
 
 from model.clock import MS, Clock, S
-from model.ledger import Account
+from model.ledger import Account, Store
 from molereach.keep import MOST_AGE_S
 from rig.history import Record
 from rig.leases import overfull
@@ -22,6 +22,7 @@
 
 NEVER = 1 << 62
 RUN = ("served", "error", "gone", "lost", "silent")  # ends of attempts that may have run
+FURTHER_SLACK = 2.0  # attempts that came on the way: doors count them when they are written
 SWEEP_US = S  # for which a fault's traces are still met after its end: resets, late closes
 # What a door says of state that it takes up, with its age, and of the list that it goes by.
 TAKEN_UP = re.compile(r"takes up a snapshot of (\d+(?:\.\d+)?) s ago")
@@ -273,6 +274,20 @@
     return [Violation("budgets", at, text) for at, text in overfull(seen)]
 
 
+def further(seen: Seen) -> list[Violation]:
+    """Where further attempts are divided by leases, all doors together make no more than come into one store
+    of the whole, which begins full. One behind an attempt that never came whole to its server is free."""
+    if seen.plan.further is None:
+        return []
+    rate, burst = seen.plan.further
+    again = sorted(record["at"] for attempts in attempts_of(seen).values() for record, _, _ in attempts[1:])
+    store = Store(rate, burst, seen.by["go"][0]["start_us"])
+    lowest = min(((store.force(1.0, at), at) for at in again), default=(0.0, 0))
+    if lowest[0] >= -FURTHER_SLACK:
+        return []
+    return [Violation("further attempts", lowest[1], f"{-lowest[0]:.1f} further attempts beyond the whole")]
+
+
 def stale(seen: Seen) -> list[Violation]:
     """No door goes by a snapshot that is older than its bound."""
     return [Violation("stale state", record["at"], f"door {record['door']} took up state of {age} s ago")
@@ -297,7 +312,8 @@
 
 CHECKS: dict[str, Callable[[Seen], list[Violation]]] = {
     check.__name__: check
-    for check in (one_answer, executions, kept_work, one_attempt, drains, quotas, budgets, stale, processes)
+    for check in (one_answer, executions, kept_work, one_attempt, drains, quotas, budgets, further, stale,
+                  processes)
 }
 
 
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -21,6 +21,7 @@
 from bench.process import Process, Tree, free_port, start_door, start_program, start_quiet
 from bench.standins import text
 from model.clock import Clock
+from molereach.allowance import FURTHER
 from molereach.keep import HEAD, Snapshot, pack
 from rig.errors import RigError
 from rig.history import Writer
@@ -252,9 +253,11 @@
             plans = zip(self.plan.fleet.plans, self.world.plans, strict=True)
             config.write_text(tomli_w.dumps({
                 "doors": self.plan.fleet.doors, "lease_ms": LEASE_MS,
-                "budgets": [{"name": f"ceiling/{plan.name}/*", "rate": figures.ceiling[0],
-                             "burst": int(figures.ceiling[1])}
-                            for plan, figures in plans if figures.ceiling[0]]}))
+                "budgets": [*({"name": f"ceiling/{plan.name}/*", "rate": figures.ceiling[0],
+                               "burst": int(figures.ceiling[1])}
+                              for plan, figures in plans if figures.ceiling[0]),
+                            *({"name": FURTHER, "rate": rate, "burst": int(burst)}
+                              for rate, burst in [self.plan.further or (0, 0)] if rate)]}))
             secret.write_text(f"{random.Random(self.seed).getrandbits(256):064x}")
             begin(member.state, read_config(config))
         words = ("-m", "steward", "serve", "--data", str(member.state), "--config", str(config), "--secret",
@@ -283,6 +286,9 @@
         told = {"addresses": ",".join(relays[at:] + relays[:at]),
                 "secret_file": str(found[0].folder / "secret")}
         config: dict[str, Any] = {"steward": {**told, "lease_ms": LEASE_MS}} if self.plan.steward else {}
+        if self.plan.further:
+            rate, burst = self.plan.further
+            config["steward"]["further_attempts"] = {"rate": rate, "burst": int(burst)}
         if self.plan.takeover:
             config["takeover"] = {**told, "classes": list(self.plan.takeover)}
         return config
--- a/rig/leases.py
+++ b/rig/leases.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from model.clock import Clock, S
+from molereach.allowance import FURTHER
 from rig.relay import THERE, Relay, Side
 from rig.world import World
 from steward.messages import Answer, Ask
@@ -135,10 +136,17 @@
 
 
 def wholes(seen: Seen) -> dict[str, int]:
-    """What is divided in parts, by plan: thousandths of units a second."""
+    """What is divided in parts, by plan for ceilings, and of further attempts: thousandths a second."""
     world = World(seen.plan.fleet, seen.seed, Clock())
-    return {plan.name: parted(Terms(round(figures.ceiling[0] * 1000), int(figures.ceiling[1])))
-            for plan, figures in zip(seen.plan.fleet.plans, world.plans, strict=True) if figures.ceiling[0]}
+    found = {plan.name: figures.ceiling for plan, figures in
+             zip(seen.plan.fleet.plans, world.plans, strict=True) if figures.ceiling[0]}
+    if seen.plan.further:
+        found[FURTHER] = seen.plan.further
+    return {name: parted(Terms(round(rate * 1000), int(burst))) for name, (rate, burst, *_) in found.items()}
+
+
+def whole_of(wholes: dict[str, int], budget: str) -> int:
+    return wholes[budget.split("/")[1] if "/" in budget else budget]
 
 
 def by_budget(seen: Seen) -> dict[str, list[Held]]:
@@ -153,7 +161,7 @@
     whole, and grants that have one fencing number together."""
     most = wholes(seen)
     for budget, held in by_budget(seen).items():
-        whole = most[budget.split("/")[1]]
+        whole = whole_of(most, budget)
         worst, at = max(((total, at) for at, total in sums(held)), default=(0, 0))
         if worst > whole:
             yield at, f"{worst} of {whole} of {budget} may be believed in"
@@ -178,11 +186,11 @@
 
 def divided(seen: Seen) -> Divided:
     most, held = wholes(seen), by_budget(seen)
-    shares = [total / most[budget.split("/")[1]] for budget, many in held.items() for _, total in sums(many)]
+    shares = [total / whole_of(most, budget) for budget, many in held.items() for _, total in sums(many)]
     deaths = [(int(record["who"].removeprefix("doors-")), record["at"]) for record in seen.by["died"]
               if record["who"].startswith("doors-") and record["at"] < seen.by["go"][0]["end_us"]]
     waits = [wait for budget, many in held.items()
-             for wait in regained(many, deaths, most[budget.split("/")[1]])]
+             for wait in regained(many, deaths, whole_of(most, budget))]
     known = [wait / S for wait in waits if wait is not None]
     return Divided(max(shares, default=0.0), median(known) if known else None, len(waits) - len(known),
                    len(seen.by["granted"]), len({record["steward"] for record in seen.by["granted"]}))
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -12,7 +12,7 @@
 from rig.checks import Seen, check
 from rig.plan import load
 from rig.runs import play_once
-from tests.helpers import SETTINGS, S, World
+from tests.helpers import SETTINGS, S, World, of
 
 PLAN = i.Plan(rate=100.0, burst=100.0, ceiling_rate=20.0, ceiling_burst=40.0)
 LEASED = replace(SETTINGS, gateways=2, plans=(PLAN,), leased=True)
@@ -27,12 +27,13 @@
 
 def allow(world: World, share: float, units: float = 0.0, lasts_us: int = 3 * S) -> None:
     ((key, _),) = world.gateway.customers.items()
-    world.tell(i.Allowance(*key, share, units, world.now + lasts_us))
+    world.tell(i.Allowance(key, share, units, world.now + lasts_us))
 
 
 def ceiling(world: World) -> float:
     ((_, customer),) = world.gateway.customers.items()
-    return customer.refill(world.now).ceiling
+    customer.refill(world.now)
+    return customer.leased.level if customer.leased else customer.ceiling
 
 
 def test_a_ceiling_is_the_floor_until_a_part_is_granted_and_after_its_lease() -> None:
@@ -51,7 +52,7 @@
     world = gateway()
     allow(world, 0.25, lasts_us=S)
     ((_, customer),) = world.gateway.customers.items()
-    customer.share_until = world.now + S
+    customer.leased.until_us = world.now + S
     world.now += S - 1
     assert ceiling(world) == pytest.approx(20.0 * (0.25 + FLOOR / 2), rel=0.01)
     world.now += 1
@@ -65,9 +66,9 @@
     allow(world, 0.2)
     ((_, customer),) = world.gateway.customers.items()
     most = 40.0 * (0.2 + FLOOR / 2)
-    assert customer.back == int(30.0 - most) and ceiling(world) <= most
+    assert customer.leased.back == int(30.0 - most) and ceiling(world) <= most
     (want,) = wanted(world.gateway, world.now)
-    assert want.back == customer.back
+    assert want.back == customer.leased.back
     allow(world, 0.2)
     assert wanted(world.gateway, world.now)[0].back == 0  # told with one grant, and not again
 
@@ -76,7 +77,7 @@
     world = gateway()
     allow(world, 7.0, units=1e9)
     assert ceiling(world) <= 40.0 * (1 - FLOOR + FLOOR / 2) + 1e-9
-    world.tell(i.Allowance(1, 0, 0, 2, 0.5, 1.0, world.now + S))  # of a customer that is not known here
+    world.tell(i.Allowance((1, 0, 0, 2), 0.5, 1.0, world.now + S))  # of a customer that is not known here
     assert len(world.gateway.customers) == 1
     plain = World(replace(LEASED, leased=False))
     plain.ask("first", set_size=2)
@@ -104,10 +105,61 @@
     assert world.gateway.accepted == 4
 
 
+def test_units_that_requests_wait_for_are_told_and_go_to_them_before_any_goes_back() -> None:
+    world = World(LEASED)
+    for number in range(20):
+        world.ask(f"r{number}")
+    (want,) = wanted(world.gateway, world.now)
+    held = len(world.gateway.held)
+    assert held > 10 and want.need == held  # its store starts empty
+    allow(world, 0.01, units=10.0)  # there is room for four of them; but more wait
+    assert world.gateway.accepted == 10 and ceiling(world) == 0
+    ((_, customer),) = world.gateway.customers.items()
+    assert customer.leased.back == 0
+    (want,) = wanted(world.gateway, world.now)
+    assert want.need == held - 10
+
+
+FURTHER = replace(SETTINGS, gateways=4, further_rate=8.0, further_burst=40.0, max_attempts=5)
+
+
+def failed(world: World, name: str) -> bool:
+    """A request whose attempt fails: whether a further one is begun."""
+    world.ask(name, left_us=6 * S)
+    return bool(of(i.Send, world.answer(name, i.Result.ERROR)))
+
+
+def test_further_attempts_of_all_gateways_live_on_what_was_granted_and_on_the_floor() -> None:
+    world = World(FURTHER)
+    assert not failed(world, "a")  # its store starts empty
+    (want,) = wanted(world.gateway, world.now)
+    assert want.key is None and want.demand > 0 and want.need == 1
+    world.tell(i.Allowance(None, 0.25, 2.0, world.now + 3 * S))
+    assert failed(world, "b") and failed(world, "c") and not failed(world, "d")
+    world.now += S // 2  # at 8 a second, a quarter and the floor's fortieth
+    assert failed(world, "e") and not failed(world, "f")
+    world.now += 100 * S  # the lease is over: the floor's share of the burst, one of forty
+    assert failed(world, "g") and not failed(world, "h")
+    assert wanted(world.gateway, world.now + WANTED_US) == []
+    world.tell(i.Allowance((1, 0, 0, 2), 0.5, 9.0, world.now + S))  # of another budget
+    assert not failed(world, "i")
+
+
+def test_without_a_budget_further_attempts_live_on_a_share_of_first_ones() -> None:
+    world = World(replace(FURTHER, further_rate=0.0))
+    assert failed(world, "a") and wanted(world.gateway, world.now) == []
+    world.tell(i.Allowance(None, 0.25, 2.0, world.now + 3 * S))
+    assert world.gateway.further is None
+
+
 @pytest.mark.parametrize("values, said", [
     ([], None), (3, "no object"), ({"secret_file": "/nowhere", "addresses": "x"}, "cannot read"),
     ({"secret_file": __file__, "addresses": "nowhere"}, "not an address"),
     ({"secret_file": __file__, "addresses": "127.0.0.1:1", "lease_ms": 5}, "less than 500"),
+    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": 3}, "no rate from 0"),
+    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": {"rate": 1}}, "no burst from"),
+    ({"secret_file": __file__, "addresses": "127.0.0.1:1",
+      "further_attempts": {"rate": float("nan"), "burst": 1}}, "no rate from 0"),
 ])
 def test_what_is_wrong_with_the_part_on_the_steward_is_one_line(values: object, said: str | None) -> None:
     if said is None:
--- a/tests/test_rig_checks.py
+++ b/tests/test_rig_checks.py
@@ -72,8 +72,8 @@
 def test_a_history_in_order_breaks_nothing() -> None:
     assert found() == set()
     assert set(CHECKS) == {
-        "one_answer", "executions", "kept_work", "one_attempt", "drains", "quotas", "budgets", "stale",
-        "processes"}
+        "one_answer", "executions", "kept_work", "one_attempt", "drains", "quotas", "budgets", "further",
+        "stale", "processes"}
 
 
 LOST = ask("x", 8 * S)
@@ -171,3 +171,15 @@
     first, second = of_log(path, 3, 0)
     assert (first["door"], first["level"], first["text"]) == (3, "INFO", "doors-0 serves at 127.0.0.1:1")
     assert second["at"] - first["at"] == S and second["text"] == "a: b"
+
+
+def test_further_attempts_beyond_the_whole_are_found_where_they_are_divided() -> None:
+    records = [record for n in range(12) for record in (
+        *ask(f"x{n}", 8 * S + n * MS, took=10 * MS, kind="view-sheet", how="error"),
+        *again(f"x{n}", 8 * S + n * MS + 20 * MS, kind="view-sheet"))]
+    history = merge([CALM, records])
+    assert CHECKS["further"](Seen(history, PLAN)) == []
+    divided = msgspec.structs.replace(PLAN, steward=True, further=(1.0, 5.0))
+    (one,) = CHECKS["further"](Seen(history, divided))
+    assert "7.0 further attempts beyond" in one.text
+    assert CHECKS["further"](Seen(history, msgspec.structs.replace(divided, further=(1.0, 10.0)))) == []
