Play ceilings by leases in the model, and tell refusals with half of the ceiling unused

The tables tell refusals with half of the ceiling unused, and units beyond quota. A scenario whose plans have no ceiling can be written as TOML (model/scenario.py, trimmed(), passed tuples over).

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -1,4 +1,4 @@
-"""The model's commands: run, compare, takeover, sweep, report and search."""
+"""The model's commands: run, compare, takeover, leases, sweep, report and search."""
 
 from __future__ import annotations
 
@@ -106,9 +106,9 @@
 
 
 def show(results: list[dict[str, object]], old: str, new: str) -> None:
-    click.echo(f"{'figure':20} {old:>10.10} {new:>10.10}  median of the paired differences [95%]")
+    click.echo(f"{'figure':28} {old:>10.10} {new:>10.10}  median of the paired differences [95%]")
     for name, before, after, interval in table(results, old, new):
-        click.echo(f"{name:20} {before:10.4f} {after:10.4f}  {interval}")
+        click.echo(f"{name:28} {before:10.4f} {after:10.4f}  {interval}")
 
 
 @cli.command()
@@ -134,6 +134,24 @@
         show(results[number * 2 * seeds : (number + 1) * 2 * seeds], rev, "this tree")
 
 
+def switched(
+    field: str, sides: tuple[str, str], scenarios: tuple[str, ...], seeds: range, jobs: int, out: Path | None
+) -> list[list[dict[str, object]]]:
+    """Scenarios with a field of theirs off and on, on the same seeds, in turns: by scenario, all plays."""
+    with tempfile.TemporaryDirectory(prefix="model-") as folder:
+        plays = []
+        for name in scenarios:
+            scenario = load(name)
+            for side, value in zip(sides, (False, True), strict=True):
+                (Path(folder) / f"{scenario.name}-{side}.toml").write_text(
+                    dump(msgspec.structs.replace(scenario, **{field: value})))
+            plays += [Play(side, ROOT, str(Path(folder) / f"{scenario.name}-{side}.toml"), seed)
+                      for seed in seeds for side in sides]
+        results = play_all(plays, jobs, out)
+    each = 2 * len(seeds)
+    return [results[at : at + each] for at in range(0, len(results), each)]
+
+
 @cli.command()
 @click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
 @SEEDS
@@ -142,26 +160,32 @@
 @OUT
 def takeover(scenarios: tuple[str, ...], seeds: int, first: int, jobs: int, out: Path | None) -> None:
     """Scenarios with work in hand lost with its door against kept by a steward, on the same seeds."""
-    with tempfile.TemporaryDirectory(prefix="model-") as folder:
-        plays = []
-        for name in scenarios:
-            scenario = load(name)
-            for side, kept in (("lost", False), ("kept", True)):
-                (Path(folder) / f"{scenario.name}-{side}.toml").write_text(
-                    dump(msgspec.structs.replace(scenario, takeover=kept)))
-            plays += [Play(side, ROOT, str(Path(folder) / f"{scenario.name}-{side}.toml"), seed)
-                      for seed in range(first, first + seeds) for side in ("lost", "kept")]
-        results = play_all(plays, jobs, out)
-    for number, name in enumerate(scenarios):
-        these = results[number * 2 * seeds : (number + 1) * 2 * seeds]
+    sides, many = ("lost", "kept"), range(first, first + seeds)
+    for name, these in zip(scenarios, switched("takeover", sides, scenarios, many, jobs, out), strict=True):
         click.echo(f"{name}: work in hand lost against kept")
-        show(these, "lost", "kept")
+        show(these, *sides)
         counts = Counter()  # of a play with it
         for total in these:
             counts.update(total["kept"] if total["side"] == "kept" else {})
         click.echo(", ".join(f"{what} {count / seeds:g}" for what, count in sorted(counts.items())))
 
 
+@cli.command()
+@click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
+@SEEDS
+@FIRST
+@JOBS
+@OUT
+def leases(scenarios: tuple[str, ...], seeds: int, first: int, jobs: int, out: Path | None) -> None:
+    """Scenarios with ceilings by fixed parts and words against leases of a steward, on the same seeds."""
+    sides, many = ("fixed", "leased"), range(first, first + seeds)
+    for name, these in zip(scenarios, switched("leased", sides, scenarios, many, jobs, out), strict=True):
+        click.echo(f"{name}: ceilings by fixed parts against leases")
+        show(these, *sides)
+        asks = sum(total["leases"] for total in these) / sum(total["asks"] for total in these[1::2])
+        click.echo(f"asks of the steward, for each of a client's: {asks:.3f}")
+
+
 @cli.command()
 @click.argument("constant")
 @click.argument("scenario")
--- a/model/day.py
+++ b/model/day.py
@@ -15,6 +15,7 @@
 from model.clock import MS, Clock, S
 from model.doors import GRACE_US, Door
 from model.kept import Kept
+from model.leased import Leases
 from model.network import Network
 from model.scenario import Scenario
 from model.servers import ScanServer, Traits
@@ -25,7 +26,8 @@
 START_US = 1_000 * S  # when a run begins: a start time of 0 means long ago
 TAIL_S = 1.0  # after the last possible end of a request
 LOAD_KINDS = ("burst", "hot_customers", "one_shots")  # troubles that are a part of the load
-STREAMS = ("servers", "net", "lists", "clients", "demand", "asks", "work", "troubles", "doors", "kept")
+STREAMS = ("servers", "net", "lists", "clients", "demand", "asks", "work", "troubles", "doors", "kept",
+           "leases")
 NOISE = (0.052, 0.47)  # of one attempt's work against another's for the same request (the site)
 
 
@@ -48,6 +50,7 @@
         self.servers: dict[str, ScanServer] = {}
         self.gone_silent: set[str] = set()
         self.kept, self.heirs = Kept(self), itertools.count(1)
+        self.leases = Leases(self)
         self.doors = [Door(self, number, number % scenario.net.zones) for number in range(scenario.doors)]
         self.clients = Clients(self, scenario.clients, self.streams["clients"])
         self.demand = Demand(self)
@@ -99,7 +102,7 @@
             message_price=scenario.prices.peer, probe_price=scenario.prices.probe,
             answer_grace_us=GRACE_US, ask_within_us=10 * S, cold_from=scenario.cold_from,
             warm_within_us=round(scenario.warm_within_s * S), fall_multiple=scenario.fall_multiple,
-            fall_us=round(scenario.fall_s * S),
+            fall_us=round(scenario.fall_s * S), leased=scenario.leased,
         )
         known = {field.name for field in fields(i.Settings)}  # an older revision has fewer
         return i.Settings(**{name: value for name, value in told.items() if name in known})
@@ -173,7 +176,7 @@
             "offered": sum(books.offered.values()), "earned": sum(books.earned.values()),
             "lost": dict(sorted(books.lost.items())),
             "messages": books.by_cause(books.messages), "peer_bytes": books.peer_bytes,
-            "kept": self.kept.result(), "halls": books.halls,
+            "kept": self.kept.result(), "leases": self.leases.asks, "halls": books.halls,
             "outcomes": dict(sorted(books.outcomes.items())), "broken": dict(sorted(books.breaks.items())),
             "sums": books.check(), "events": self.clock.calls,
         }
--- a/model/doors.py
+++ b/model/doors.py
@@ -93,6 +93,7 @@
         self.hear(day.catalog.saved(self.life > 1))
         day.clock.after(LIST_AFTER_START_US, self.first_list, self.life)
         day.clock.after(SWEEP_US, self.sweep, self.life)
+        day.leases.start(self)
 
     def first_list(self, life: int) -> None:
         if life == self.life:
--- a/model/experiment.py
+++ b/model/experiment.py
@@ -171,6 +171,9 @@
         "handshakes an ask": total["handshakes"] / asks,
         "messages an ask": sent / asks,
         "messages lost": 1 - messages.get("arrived", 0) / sent if sent else 0.0,
+        "refused, ceiling half unused": sum(count for cause, count in total["refused"].items()
+                                            if cause.startswith("half unused, ceiling")) / asks,
+        "units beyond quota": float(total["units_beyond"]),
         "broken rules": float(sum(total["broken"].values())),
         "keyed in two halls": float(total.get("halls", 0)),
         **way_figures(total.get("way")),
--- /dev/null
+++ b/model/leased.py
@@ -0,0 +1,121 @@
+"""Ceilings divided by a steward's leases, in the model: the steward's own state machine and holders.
+
+Of docs/steward.md it has: parts, leases, the pool, units by need, renewals with jitter and sooner for a need,
+doors that die with what they hold. Not in it: the steward's own failures, clocks that drift, and what an ask
+costs but for the time that it takes.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from fennelwinch import interface as i
+from model.clock import MS
+from steward.holder import Holder
+from steward.messages import Answer, Ask
+from steward.state import LEASE_MS, State, Terms
+
+if TYPE_CHECKING:
+    from model.day import Day
+    from model.doors import Door
+
+ASK_US = 4 * MS  # from an ask to its answer: two ways on a machine's network, and a sync of the log
+RENEW_US, JITTER = LEASE_MS * MS // 3, 0.25  # as steward/client.py has them
+LOOK_US, HURRY_US = 100 * MS, 200 * MS  # as molereach/allowance.py and steward/client.py have them
+THOUSANDTHS = 1000
+
+
+class Leases:
+    """The steward, and each door's asks; nothing where the scenario does not say so."""
+
+    def __init__(self, day: Day) -> None:
+        self.day, self.on = day, day.scenario.leased
+        self.state = State(0, day.clock.now // MS, 0)
+        self.held: dict[int, Held] = {}
+        self.asks = 0
+
+    def start(self, door: Door) -> None:
+        """A door has started, or started again: another holder."""
+        if self.on:
+            held = self.held[door.number] = Held(self, door)
+            first = round(self.day.streams["leases"].uniform() * RENEW_US * JITTER)
+            self.day.clock.after(first, held.renew, door.life, 0)
+            self.day.clock.after(LOOK_US, held.look, door.life)
+
+    def terms(self, key: i.Key) -> Terms:
+        rate, burst, _ = self.day.plans[key[1]].ceiling
+        return Terms(round(rate * THOUSANDTHS), int(burst))
+
+    def ask(self, ask: Ask) -> Answer:
+        now, self.asks = self.day.clock.now // MS, self.asks + 1
+        for want in ask.wants:
+            if want.budget not in self.state.budgets:
+                key = tuple(int(word) for word in want.budget.split("/"))
+                self.state.set_terms(want.budget, self.terms(key), now)
+        return self.state.ask(ask, now)
+
+
+class Held:
+    """What one start of a door holds, and its asks."""
+
+    def __init__(self, leases: Leases, door: Door) -> None:
+        self.leases, self.door, self.clock = leases, door, leases.day.clock
+        self.holder = Holder(door.number, door.life, leases.day.scenario.doors)
+        self.keys: dict[str, i.Key] = {}
+        self.taken: dict[str, int] = {}
+        self.serial = 0  # of the renewal that is due: a sooner one takes its place
+        self.asked_us = self.patience_us = self.needs = 0
+
+    def look(self, life: int) -> None:
+        """Renew sooner for what nothing is held of, or where requests wait for units."""
+        if life != self.door.life or self.door.gateway is None:
+            return
+        now = self.clock.now
+        waited = now >= self.asked_us + self.patience_us
+        if now >= self.asked_us + HURRY_US and any(
+                name_of(want.key) not in self.keys or (waited and want.need > 0) for want in self.wants()):
+            self.renew(life, self.serial)
+        self.clock.after(LOOK_US, self.look, life)
+
+    def wants(self) -> list[i.Wanted]:
+        from fennelwinch.allowances import wanted  # an older revision has none
+
+        return wanted(self.door.gateway, self.clock.now)
+
+    def renew(self, life: int, serial: int) -> None:
+        if life != self.door.life or serial != self.serial or self.door.gateway is None:
+            return
+        now, self.asked_us, self.needs = self.clock.now, self.clock.now, 0
+        for want in self.wants():
+            name = name_of(want.key)
+            self.keys[name] = want.key
+            need = math.ceil(want.need)
+            self.needs += need
+            self.holder.use(name, self.leases.terms(want.key), round(want.demand * THOUSANDTHS), now // MS,
+                            need)
+            self.holder.parts[name].back = want.back
+        for name in [name for name in self.keys if name not in self.holder.parts]:
+            del self.keys[name]
+        self.clock.after(ASK_US, self.answered, life, self.leases.ask(self.holder.ask(now // MS)))
+        self.serial += 1
+        part = 1 - JITTER * self.leases.day.streams["leases"].uniform()
+        self.clock.after(round(part * RENEW_US), self.renew, life, self.serial)
+
+    def answered(self, life: int, answer: Answer) -> None:
+        now = self.clock.now
+        if life != self.door.life or not self.holder.answered(answer, now // MS):
+            return
+        fresh = [(name, part) for name, part in self.holder.parts.items()
+                 if part.fence and part.fence != self.taken.get(name)]
+        brought = any(part.came for _, part in fresh)
+        self.patience_us = min(2 * self.patience_us + LOOK_US, RENEW_US) if self.needs and not brought else 0
+        for name, part in fresh:
+            self.taken[name] = part.fence
+            self.door.handle(i.Allowance(self.keys[name], part.part / part.terms.whole, part.came,
+                                         now + (part.until_ms - now // MS) * MS))
+
+
+def name_of(key: i.Key) -> str:
+    return "/".join(map(str, key))
+
--- a/model/scenario.py
+++ b/model/scenario.py
@@ -189,6 +189,7 @@
     fall_s: Positive = 2.0
     drain_grace_ms: Positive = 250.0
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=20)] = 5
+    leased: bool = False  # ceilings are divided by a steward's leases, not by fixed parts and words
     takeover: bool = False  # keyed work in hand is kept by a steward, and outlives its door
     servers: Servers = Servers()
     net: Net = Net()
@@ -270,7 +271,7 @@
         elif key == "troubles":
             plain = msgspec.to_builtins(Trouble(kind="burst"))
             value = [{"kind": one["kind"]} | trimmed(one, plain) for one in value]
-        elif isinstance(value, list):
+        elif isinstance(value, list | tuple):
             value = [{k: v for k, v in one.items() if v is not None} if isinstance(one, dict) else one
                      for one in value]
         found[key] = value
--- a/steward/config.py
+++ b/steward/config.py
@@ -12,7 +12,12 @@
     burst = 60
 
     [[budgets]]
-    name = "further-attempts"
+    name = "further-attempts"         # of all front doors together
+    rate = 40.0
+    burst = 80
+
+    [[budgets]]
+    name = "sessions"
     open = 50                         # a count of what may be open at once
 """
 
--- a/tests/test_model_experiment.py
+++ b/tests/test_model_experiment.py
@@ -128,11 +128,13 @@
     with pytest.raises(ModelError):
         bootstrap([])
     base = {"asks": 10, "whole": 1, "worst_10s": 1, "prices": {"over_quota": 0}, "tries": 10, "attempts": 10,
-            "handshakes": 1, "messages": {"arrived": 3, "intake full": 1}, "broken": {}}
+            "handshakes": 1, "messages": {"arrived": 3, "intake full": 1}, "broken": {}, "units_beyond": 0,
+            "refused": {"half unused, ceiling, word": 3, "half unused, home": 2, "beyond quota": 4}}
     results = [{**base, "side": side, "seed": seed, "g": seed / 10 + extra}
                for seed in (1, 2, 3) for side, extra in (("a", 0.0), ("b", 0.05))]
     rows = {name: (before, after, interval) for name, before, after, interval in table(results, "a", "b")}
     assert rows["g"][2].median == pytest.approx(0.05) and rows["messages lost"][0] == pytest.approx(0.25)
+    assert rows["refused, ceiling half unused"][0] == pytest.approx(0.3)
     assert table(results[:1], "a", "b") == []
 
 
