Pass over no steward from before there were terms, and begin after a claim that was cut off

Seen on rereading steward/tenure.py: a standby looks at the folder itself where there is no term yet, which a steward from before terms never touches; after 1.5 s it would have been passed over while it lives, and it looks for no later term: two would have granted.

Measured: the new tests fail without it (claim raises LockedError; Watch.over gives 0 after 30 looks).

--- a/steward/tenure.py
+++ b/steward/tenure.py
@@ -18,6 +18,7 @@
 import os
 import re
 import shutil
+import time
 from contextlib import suppress
 from pathlib import Path
 
@@ -87,6 +88,8 @@
         number = latest(self.folder)
         if is_over(self.folder, number):
             return number
+        if not number:
+            return None  # a program from before there were terms gives no signs of life, nor looks for one
         try:
             seen = number, place(self.folder, number).stat().st_mtime_ns
         except FileNotFoundError:
@@ -164,11 +167,14 @@
 
 
 def claim(folder: Path) -> Tenure:
-    """Begin a term where the one before is over; else a LockedError."""
+    """Begin a term where the one before is over; else a LockedError. One whose process died before it had a
+    lock there is told by that it shows no sign of life."""
     folder.mkdir(parents=True, exist_ok=True)
-    number = latest(folder)
-    if not is_over(folder, number):
-        raise LockedError(f"another steward has the folder {folder}")
+    watch = Watch(folder)
+    while (number := watch.over()) is None:
+        if (place(folder, latest(folder)) / "lock").exists():
+            raise LockedError(f"another steward has the folder {folder}")
+        time.sleep(LOOK_S)
     return Tenure(folder, number)
 
 
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import fcntl
 import os
 import shutil
 import signal
@@ -213,6 +214,28 @@
     book.close()
 
 
+def test_a_process_that_died_before_it_had_a_lock_keeps_nobody_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("steward.tenure.LOOK_S", 0.001)
+    (tmp_path / "term-4").mkdir()
+    tenure = claim(tmp_path)
+    assert tenure.number == 5 and tenure.holds()
+    tenure.end()
+
+
+def test_a_program_from_before_there_were_terms_is_not_passed_over(tmp_path: Path) -> None:
+    """It gives no signs of life, and would go on beside its successor."""
+    lock = os.open(tmp_path / "lock", os.O_RDWR | os.O_CREAT)
+    fcntl.flock(lock, fcntl.LOCK_EX)
+    watch = Watch(tmp_path)
+    assert [watch.over() for _ in range(2 * MOST_LOOKS)] == [None] * 2 * MOST_LOOKS
+    with pytest.raises(LockedError):
+        claim(tmp_path)
+    os.close(lock)
+    assert watch.over() == 0
+
+
 def test_a_folder_that_was_lost_and_made_again_is_not_the_same_term(tmp_path: Path, still: int) -> None:
     begin(tmp_path / "data", CONFIG)
     old = Book(claim(tmp_path / "data"))
