--- a/model/leased.py
+++ b/model/leased.py
@@ -22,7 +22,7 @@
 
 ASK_US = 4 * MS  # from an ask to its answer: two ways on a machine's network, and a sync of the log
 RENEW_US, JITTER = LEASE_MS * MS // 3, 0.25  # as steward/client.py has them
-LOOK_US, HURRY_US = 100 * MS, 200 * MS  # as molereach/allowance.py and steward/client.py have them
+LOOK_US, HURRY_US = 50 * MS, 100 * MS  # as molereach/allowance.py and steward/client.py have them
 THOUSANDTHS = 1000
 
 
--- a/molereach/allowance.py
+++ b/molereach/allowance.py
@@ -24,7 +24,7 @@
     from molereach.frontdoor import FrontDoor
 
 MOST_WANTED = 2000  # budgets in one ask: as many as a steward takes
-LOOK_S = 0.1  # between looks for customers that have come
+LOOK_S = 0.05  # between looks for customers that have come
 FURTHER = "further-attempts"  # the budget of all front doors' together
 THOUSANDTHS = 1000  # in which a steward counts units a second
 
--- a/steward/client.py
+++ b/steward/client.py
@@ -23,7 +23,7 @@
 
 Address = tuple[str, int]
 RENEW_SHARE, JITTER = 1 / 3, 0.25  # of the lease: two renewals may get lost
-HURRY_S = 0.2  # between two renewals at least, also where something new is wanted
+HURRY_S = 0.1  # between two renewals at least, also where something new is wanted
 MOST_ANSWER = 1 << 20  # bytes
 
 
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -231,7 +231,7 @@
     spent, now = 0, NOW
     for step in range(200):
         now = NOW + 100 * step
-        if step % 10 == 0:
+        if step % 2 == 0:  # as doors do that wait for units
             renew(steward, one, two, now=now)
         for who in (one, two):
             while who.spend("rate", 1, now):
