Refuse further attempts by leases with a burst of less than one

Seen on rereading molereach/config.py: a burst below 1 becomes 0 in the steward's terms, which is a count of what may be open and not a rate. Change: one line says so. Measured: tests/test_allowances.py, which fails without it.

--- a/molereach/config.py
+++ b/molereach/config.py
@@ -149,6 +149,8 @@
     for value, name in ((rate, "rate"), (burst, "burst")):
         if type(value) not in (int, float) or not 0 <= value <= 1e6:
             raise ConfigError(f"the steward's further_attempts have no {name} from 0 to 1000000")
+    if rate and burst < 1:
+        raise ConfigError("the steward's further_attempts have a burst of less than 1")
     return Steward(read_addresses(values["addresses"]), secret, lease_ms, float(rate), float(burst))
 
 
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -158,6 +158,8 @@
     ({"secret_file": __file__, "addresses": "127.0.0.1:1", "lease_ms": 5}, "less than 500"),
     ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": 3}, "no rate from 0"),
     ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": {"rate": 1}}, "no burst from"),
+    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": {"rate": 1, "burst": 0.5}},
+     "burst of less than 1"),
     ({"secret_file": __file__, "addresses": "127.0.0.1:1",
       "further_attempts": {"rate": float("nan"), "burst": 1}}, "no rate from 0"),
 ])
