Find the log of a steward's present term where its size and its damage are looked for

Looked for more of the kind: rig/fleet.py damages what lies in a state's folder, and would have read a folder as a file. Change: both look where the term's log is. Measured: tests/test_bench_work.py and tests/test_rig_recovery.py pass.

--- a/bench/work.py
+++ b/bench/work.py
@@ -25,6 +25,7 @@
 from steward.client import Stream
 from steward.hand import Hand
 from steward.messages import MOST_OPS, Begin, Done, WorkAnswer
+from steward.tenure import latest, place
 from steward.wire import now_ms
 
 MOST_US = 10_000_000  # that a histogram holds
@@ -153,7 +154,8 @@
                     await ask()
             took, used = time.monotonic() - began, keeper.processor_us() - used
             line.close()
-            log = (folder / "state" / "log").stat().st_size
+            state = folder / "state"
+            log = (place(state, latest(state)) / "log").stat().st_size
             return Alone(pieces, pieces * 1e6 / used, took, log / pieces)
 
 
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -99,7 +99,7 @@
             path = self.state / "door"
             path.write_bytes(aged(path.read_bytes(), STALE_MS))
         elif how == "damaged":
-            for path in sorted(self.state.glob("*")):
+            for path in sorted(path for path in self.state.rglob("*") if path.is_file()):
                 data = bytearray(path.read_bytes())
                 if data:
                     data[len(data) // 2] ^= 0xFF
