Sort the changes of what may be believed in once, and ask one place where a steward listens

Seen on rereading: rig/leases.py put each change into a sorted list on its own, which takes quadratic time, and made a relay's table at its first bytes; rig/fleet.py built a steward's address beside listen(), which has it. Change: one sort, a constructor, and listen(). Nothing is found or noted differently.

--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -266,7 +266,7 @@
             process, _ = await start_program((*words, self.listen(member)), member.folder / "log")
             return process
         if member.process is None:
-            host = f"{self.prefix}.{SERVICES['steward'] + member.number}"
+            host = self.listen(member).rpartition(":")[0]
             member.place = host, free_port(host=host)
         words = (*words, text(member.place), "--standby")
         if member.process is None and member.number == 0:
--- a/rig/leases.py
+++ b/rig/leases.py
@@ -7,12 +7,11 @@
 
 from __future__ import annotations
 
-from bisect import insort
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from statistics import median
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from weakref import WeakKeyDictionary
 
 import msgspec
@@ -64,11 +63,11 @@
 class Renewals(Relay):
     """From a door to a steward: notes each ask and each answer, as they go by."""
 
-    bodies: WeakKeyDictionary[Side, Bodies]
+    def __init__(self, *values: Any) -> None:  # noqa: ANN401 - a relay's
+        super().__init__(*values)
+        self.bodies: WeakKeyDictionary[Side, Bodies] = WeakKeyDictionary()
 
     def seen(self, side: Side, data: bytes) -> None:
-        if not hasattr(self, "bodies"):
-            self.bodies = WeakKeyDictionary()
         for first, body in self.bodies.setdefault(side, Bodies()).feed(data):
             try:
                 if side.out.way == THERE:
@@ -120,11 +119,9 @@
 
 def sums(held: Iterable[Held]) -> Iterator[tuple[int, int]]:
     """At each moment at which it changes, what all may believe in together: of each holder, the most."""
-    changes: list[tuple[int, int, int]] = []
     many = list(held)
-    for number, one in enumerate(many):
-        insort(changes, (one.end_us, 0, number))  # what ends then is over
-        insort(changes, (one.begin_us, 1, number))
+    changes = sorted(change for number, one in enumerate(many) for change in (
+        (one.end_us, 0, number), (one.begin_us, 1, number)))  # what ends then is over
     live: dict[tuple[int, int], list[int]] = defaultdict(list)
     total = 0
     for at, begins, number in changes:
