Tell a wrong option of the list service in one plain line

Change: roster/__main__.py prints one line, as model and rig do. Result: tests/test_roster_server.py, all pass.

--- a/roster/__main__.py
+++ b/roster/__main__.py
@@ -73,6 +73,15 @@
         sys.exit(f"roster: {data or follow} or {listen}: {error.strerror}")
 
 
+def start() -> None:
+    """Run the command; a wrong option is one plain line and exit code 2."""
+    with contextlib.suppress(KeyboardInterrupt, click.Abort):
+        try:
+            main(prog_name="python -m roster", standalone_mode=False)
+        except click.ClickException as error:
+            click.echo(f"roster: {error.format_message()}", err=True)
+            sys.exit(error.exit_code)
+
+
 if __name__ == "__main__":
-    with contextlib.suppress(KeyboardInterrupt):
-        main()
+    start()
--- a/tests/test_roster_server.py
+++ b/tests/test_roster_server.py
@@ -258,9 +258,13 @@
     process, _ = started(tmp_path)
     _, errors = process.communicate(timeout=20)
     assert process.returncode == 1 and errors.count("\n") == 1 and "snapshot is damaged" in errors
-    done = subprocess.run([sys.executable, "-m", "roster", "--data", str(tmp_path), "--listen", "nowhere"],
-                          cwd=ROOT, capture_output=True, text=True, timeout=20, check=False)
-    assert done.returncode == 2 and "'nowhere' is not HOST:PORT" in done.stderr
+    for words, told in ((["--data", str(tmp_path), "--listen", "nowhere"], "'nowhere' is not HOST:PORT"),
+                        (["--fill", "soon"], "not a valid float"),
+                        ([], "one of --data and --follow is wanted")):
+        done = subprocess.run([sys.executable, "-m", "roster", *words], cwd=ROOT, capture_output=True,
+                              text=True, timeout=60, check=False)
+        assert done.returncode == 2 and done.stderr.startswith("roster: ")
+        assert told in done.stderr and done.stderr.count("\n") == 1
 
 
 def test_a_list_that_began_with_nothing_is_not_told_until_it_may_be_filled(
