Take up no level of a home's set after its restart, and tell once who has restarted

Change: a home that has lost its memory goes by what can have come in since; knows_more, level_heard and blind are gone. A start's word says whether its sender knows that it has restarted, and is then answered by nobody.

--- a/fennelwinch/allowances.py
+++ b/fennelwinch/allowances.py
@@ -19,6 +19,7 @@
 FLOOR = 0.1  # of a budget, for all who share it together (steward/state.py keeps as much aside)
 WANTED_US = 3 * S  # for which a budget that has not been asked of is still asked for: a lease
 RATE_US = 2 * S  # over which demand is smoothed for a steward
+NOTHING: dict[str, Store] = {}  # is leased of most customers: one for all of them, and never changed
 
 
 class Store:
@@ -38,6 +39,10 @@
     def most(self, now: int) -> float:
         return self.burst * ((self.share if now < self.until_us else 0.0) + self.floor)
 
+    def room(self, now: int) -> int:
+        """Of a count, which has no rate: how much may be open here, in whole units."""
+        return math.floor(self.most(now) + 1e-9)
+
     def refill(self, now: int) -> float:
         """The units that may be used now."""
         took, self.at = now - self.at, now
@@ -54,28 +59,57 @@
         self.asked_rate, self.asked_us = self.asked_rate * aged + units * S / RATE_US, now
 
 
+def whole_of(kind: str, plan: i.Plan) -> tuple[float, float]:
+    """A customer's budget of that kind, of all gateways: units a second, and units; a count has no rate."""
+    return {i.CEILING: (plan.ceiling_rate, plan.ceiling_burst), i.QUOTA: (plan.rate, plan.burst),
+            i.OPEN: (0.0, plan.max_out)}[kind]
+
+
+def stores_of(plan: i.Plan, size: int, settings: i.Settings, now: int) -> dict[str, Store]:
+    """What is divided by leases of a customer's budgets, by kind; what is less than a unit is not."""
+    leased = ((i.CEILING, settings.leased), (i.QUOTA, settings.leased_quotas), (i.OPEN, settings.leased_open))
+    wholes = [(kind, *whole_of(kind, plan)) for kind, on in leased if on]
+    return {kind: Store(rate, burst, size, now) for kind, rate, burst in wholes
+            if burst >= 1 and (rate or kind == i.OPEN)} or NOTHING
+
+
 def wanted(gateway: Gateway, now: int) -> list[i.Wanted]:
     """The budgets that this gateway needs a part of, with its demand lately."""
-    waited: dict[i.Key, float] = {None: float(gateway.not_again)}  # units that something waits for
-    for _, _, job in gateway.held:
-        if job.customer.leased and not job.servers and not job.customer.allows(job.req.units):
-            waited[job.customer.key] = waited.get(job.customer.key, 0.0) + job.req.units
-    stores = [(key, customer.leased) for key, customer in gateway.customers.items()]
-    return [i.Wanted(key, store.asked_rate, store.back, max(0.0, waited.get(key, 0.0) - store.level))
-            for key, store in ((None, gateway.further), *stores)
-            if store and now - store.asked_us < WANTED_US]
+    waited: dict[i.Key, float] = {}  # units, or openings, that something waits for
+    lacking = [(i.CEILING, job) for _, _, job in gateway.held
+               if not job.servers and not job.customer.allows(job.req.units)]
+    lacking += [(i.QUOTA if job.customer.may_open() else i.OPEN, job) for job in gateway.waits]
+    for kind, job in lacking:
+        key = (kind, *job.customer.key)
+        waited[key] = waited.get(key, 0.0) + (1.0 if kind == i.OPEN else job.req.units)
+    stores = [((kind, *key), store, customer.out) for key, customer in gateway.customers.items()
+              for kind, store in customer.leased.items()]
+    if gateway.further:
+        waited[None] = float(gateway.not_again)
+        stores.insert(0, (None, gateway.further, 0))
+    found = []
+    for key, store, out in stores:
+        need = waited.get(key, 0.0)
+        if key and key[0] == i.OPEN:
+            if need or out:
+                found.append(i.Wanted(key, need + out, need=need, used=out))
+        elif now - store.asked_us < WANTED_US:
+            found.append(i.Wanted(key, store.asked_rate, store.back, max(0.0, need - store.level)))
+    return found
 
 
 def take(gateway: Gateway, event: i.Allowance) -> None:
     """A part of a budget, until its lease is over."""
-    customer = gateway.customers.get(event.key) if event.key else None
-    store = gateway.further if event.key is None else customer and customer.leased
+    customer = gateway.customers.get(event.key[1:]) if event.key else None
+    store = gateway.further if event.key is None else customer and customer.leased.get(event.key[0])
     if not store:
         return
     now = gateway.now
     store.refill(now)
     store.share, store.until_us = max(0.0, min(1.0 - FLOOR, event.share)), event.until_us
     store.level += max(0.0, event.units)
+    if customer:
+        gateway.end_leased_waits(customer)
     gateway.release()  # who waits for these units has them, also where they are more than fit
     # What no longer fits goes back with the next ask, in whole units.
     store.back = int(max(0.0, store.level - store.most(now)))
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -120,7 +120,11 @@
     warm_within_us: int = 0
     fall_multiple: float = 1.0
     fall_us: int = 1
-    leased: bool = False  # ceilings are divided by a steward's leases, not by fixed parts and words
+    # What a steward's leases divide, in place of fixed parts and words: customers' ceilings, their quotas,
+    # and what they may have open at once.
+    leased: bool = False
+    leased_quotas: bool = False
+    leased_open: bool = False
     # Further attempts of all gateways together, a second and at once, divided in the same way; 0: each lives
     # on a share of its own first ones.
     further_rate: float = 0.0
@@ -344,19 +348,22 @@
     age_us: int
 
 
-# A budget that is divided by leases: a customer's ceiling, by customer, plan and set; none: further attempts.
-Key = tuple[int, int, int, int] | None
+CEILING, QUOTA, OPEN = "ceiling", "quota", "open"  # kinds of a customer's budgets
+# A budget that is divided by leases: its kind, then customer, plan and set; none: further attempts.
+Key = tuple[str, int, int, int, int] | None
 
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
-    """A budget that a part is needed of: the demand for it here, in units a second, the units that no longer
-    fitted in with the last grant, and those that something waits for now."""
+    """A budget that a part is needed of: the demand for it here (in units a second, or a count), the units
+    that no longer fitted in with the last grant, those that something waits for now, and what is in use of a
+    count."""
 
     key: Key
     demand: float
     back: int = 0
     need: float = 0.0
+    used: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -4,7 +4,7 @@
 from bisect import insort
 
 from fennelwinch import interface as i
-from fennelwinch.allowances import Store
+from fennelwinch.allowances import stores_of
 from fennelwinch.base import NEVER, TICK_US, Job, S
 from fennelwinch.cap import Cap
 from fennelwinch.starts import Starts
@@ -24,7 +24,7 @@
 class Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    __slots__ = ("at", "blind", "ceiling", "ceiling_home", "ceiling_part", "grants", "heard_us", "home",
+    __slots__ = ("at", "ceiling", "ceiling_home", "ceiling_part", "grants", "heard_us", "home",
                  "key", "leased", "level", "others", "out", "own", "part", "plan", "size", "spent", "untold")
 
     def __init__(
@@ -42,10 +42,8 @@
         self.ceiling_home = CEILING_HOME if shared and self.home == set_.me else 0.0
         self.grants = ceiling * self.ceiling_home
         self.heard_us, self.out = -NEVER, 0
-        self.blind = False  # what was spent before a restart is not known here
-        self.leased = None  # of a ceiling that is divided by leases
-        if set_.leased and plan.ceiling_rate:
-            self.leased = Store(plan.ceiling_rate, plan.ceiling_burst, self.size, now)
+        self.leased = stores_of(plan, self.size, set_, now)
+        if i.CEILING in self.leased:
             self.ceiling = self.grants = self.ceiling_part = self.ceiling_home = 0.0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
 
@@ -53,15 +51,14 @@
         """What was spent before a restart at `since` is not known: there is but what can have come since."""
         came = min(self.plan.burst, self.plan.rate * (self.at - since) / S)
         self.part, self.level = min(self.part, came / self.size), min(self.level, came)
-        self.blind = True
 
     def refill(self, now: int) -> "Customer":
         """Refill the parts. Others' demand and the level stay as told while that is fresh, as others go on
         asking; after that, as when the home has gone, they are what may be by now."""
         took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
         flow, most = plan.ceiling_rate * took, plan.ceiling_burst
-        if self.leased:
-            self.leased.refill(now)
+        for store in self.leased.values():
+            store.refill(now)
         self.ceiling = min(most * self.ceiling_part, self.ceiling + flow * self.ceiling_part)
         self.grants = min(most * self.ceiling_home, self.grants + flow * self.ceiling_home)
         aged = math.exp(-took * S / DEMAND_US)
@@ -79,20 +76,30 @@
 
     def chance(self, units: float) -> float:
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
-        if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
+        if not self.may_open():
             return 0.0
+        if store := self.leased.get(i.QUOTA):
+            return float(store.level >= units)
         spare = units * self.plan.over_cost  # kept in the store: to find it empty costs so much
         quota = self.level - spare + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
+    def may_open(self) -> bool:
+        """Whether one more of its requests may be out from here."""
+        if not (most := self.plan.max_out):
+            return True
+        store = self.leased.get(i.OPEN)
+        return self.out < (store.room(self.at) if store else max(1, most // self.size))
+
     def allows(self, units: float) -> bool:
         """Whether the part of the ceiling here has room."""
-        return not self.plan.ceiling_rate or (self.leased.level if self.leased else self.ceiling) >= units
+        store = self.leased.get(i.CEILING)
+        return not self.plan.ceiling_rate or (store.level if store else self.ceiling) >= units
 
     def use(self, units: float) -> None:
         """Take them from the ceiling, as they are sent on."""
-        if self.leased:
-            self.leased.level -= units
+        if store := self.leased.get(i.CEILING):
+            store.level -= units
         else:
             self.ceiling -= units
 
@@ -106,6 +113,12 @@
     def spend(self, units: float) -> None:
         self.level = max(self.level - units, -self.plan.rate * DEMAND_US / S)  # it owes nothing for long
 
+    def take(self, units: float) -> None:
+        """The same, of what is used here: of what is leased too."""
+        self.spend(units)
+        if store := self.leased.get(i.QUOTA):
+            store.level -= units
+
 
 class Quota(Cap):
     """Owns the customers, the requests that wait for word, and the words that wait to leave."""
@@ -152,13 +165,19 @@
         if job.late and customer.chance(units) < 1:  # what is scarce goes to those that come in time
             self.end(job)
             return
-        if customer.leased:
-            customer.leased.asked(units, self.now)
+        for store in customer.leased.values():
+            store.asked(units, self.now)
         customer.own, customer.untold = customer.own + units, customer.untold + units
         most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
         heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
         alone = home == self.set.me
-        if not customer.plan.max_out and customer.part >= units and (alone or customer.allows(units)):
+        if i.QUOTA in customer.leased:
+            self.tell(home, customer, 0.0)
+            if customer.chance(units):
+                self.decide(job, 1.0)
+            else:
+                self.wait(job)
+        elif not customer.plan.max_out and customer.part >= units and (alone or customer.allows(units)):
             self.decide(job, 1.0)
             self.tell(home, customer, 0.0)
         elif alone or heard or self.is_silent(home) or not customer.plan.rate:
@@ -176,10 +195,23 @@
     def ask(self, job: Job) -> None:
         self.unanswered.setdefault(job.customer.home, self.now)
         self.asked_us[job.customer.home] = self.now
-        wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
+        job.asks += 1
+        self.wait(job)
+        self.tell(job.customer.home, job.customer, job.req.units)
+
+    def wait(self, job: Job) -> None:
+        """For word of its home, or for units by a lease."""
+        wait = min(ASK_US, job.rule.aim_us // ASK_PART)
         job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
         self.waits.append(job)
-        self.tell(job.customer.home, job.customer, job.req.units)
+
+    def end_leased_waits(self, customer: Customer) -> None:
+        """Units have come by a lease: whoever waits for them goes on, as far as they go."""
+        for job in [job for job in self.waits if job.customer is customer and i.QUOTA in customer.leased]:
+            if customer.chance(job.req.units):
+                self.waits.remove(job)
+                if not job.over:
+                    self.decide(job, 1.0)
 
     def decide(self, job: Job, chance: float) -> None:
         job.in_quota, plan = self.random.random() < chance, job.customer.plan
@@ -203,7 +235,7 @@
         self.waits = [job for job in self.waits if job not in ready]
         for job in [job for job in ready if not job.over]:
             last = min(job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
-            if told is None and job.asks < ASKS and self.now + ASK_US < last:
+            if told is None and 0 < job.asks < ASKS and self.now + ASK_US < last:
                 self.ask(job)  # words may be lost
                 continue
             chance = job.customer.chance(job.req.units)
@@ -212,7 +244,7 @@
             self.decide(job, chance)
 
     def spend(self, customer: Customer, units: float) -> None:
-        customer.spend(units)
+        customer.take(units)
         customer.part, customer.spent = max(0.0, customer.part - units), customer.spent + units
 
     def tell(self, peer: int, customer: Customer, asked: float, granted: float = 0.0) -> None:
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -15,7 +15,7 @@
 from fennelwinch.choice import FEW_GATEWAYS, SMOOTH, Backend
 from fennelwinch.memory import recall
 from fennelwinch.patience import Patience
-from fennelwinch.quota import Customer, Quota
+from fennelwinch.quota import Quota
 
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
 RATE_SMOOTH = 0.3  # weight of a period's sends in a running mean
@@ -222,7 +222,8 @@
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
                 self.end_waits(customer if word.asked else None, word.spent)
             elif customer.home == self.set.me:
-                customer.level = self.level_heard(customer, new, message.sender, word.level)
+                if new:  # the lesser: what others knew before a home was away is more than what is left
+                    customer.level = min(customer.level, word.level)
                 customer.others += word.demand
                 customer.spend(word.spent)
                 chance = customer.chance(word.asked)
@@ -242,14 +243,6 @@
                 if customer.heard_us < 0:
                     customer.refill(self.now).forget(self.starts.first_us)
 
-    def level_heard(self, customer: Customer, new: bool, sender: int, level: float) -> float:
-        """The home's level, by what one of the set holds it to be: the lesser where the home knows nothing,
-        and after a restart what somebody knows who was there before."""
-        if customer.blind and self.starts.knows_more(sender, self.now):
-            customer.blind = False
-            return level
-        return min(customer.level, level) if new else customer.level
-
     def send(self, job: Job, server: Backend) -> None:
         if not (number := len(job.servers)):
             self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
@@ -327,7 +320,7 @@
             server.slowness += SMOOTH * (ratio - server.slowness)
             self.mean_us[index] += SMOOTH * (took - self.mean_us[index])
             if self.set.trued_up and event.true_units and job.in_quota:
-                job.customer.spend(event.true_units - job.req.units)
+                job.customer.take(event.true_units - job.req.units)
         if result in (i.Result.OK, i.Result.TIMEOUT):
             self.signals["latency"].append(min(1.0, took / job.rule.aim_us))
             self.fleet.add_signal(min(1.0, took / job.rule.aim_us))
--- a/fennelwinch/starts.py
+++ b/fennelwinch/starts.py
@@ -1,8 +1,9 @@
 """Who of a fleet has started when: what a restarted gateway learns, and what its peers learn of it.
 
 A word with a set of none tells of its sender instead of a customer: `customer` is its start mark, drawn anew
-with each start, and `demand` for how many seconds it has been asked. Gateways that start together are asked
-together; one that is asked for a shorter time than a peer has restarted, and knows nothing of what was spent.
+with each start, `demand` for how many seconds it has been asked, and `is_answer` whether it knows that it has
+restarted, and need not be told. Gateways that start together are asked together; one that is asked for a
+shorter time than a peer has restarted, and knows nothing of what was spent.
 """
 
 import random
@@ -46,10 +47,11 @@
         if not owed and 0 <= self.first_us <= now - YOUNG_US:
             return ()
         served = 0.0 if self.first_us < 0 else min(MOST_SERVED_S, (now - self.first_us) / S)
-        return (i.Word(self.mark, 0, 0, 0, demand=served),)
+        return (i.Word(self.mark, 0, 0, 0, self.restarted, demand=served),)
 
     def heard(self, sender: int, word: i.Word, now: int) -> bool:
-        """A peer's start: whether it is new here, and so much later than the own that it has to be told."""
+        """A peer's start: whether it is new here, so much later than the own, and yet to be told so. Where
+        all who are older told it, their words would come to it by the dozen, at its worst moment."""
         mark, since = word.customer, now - round(max(0.0, word.demand) * S)
         known = self.peers.get(sender)
         self.peers[sender] = mark, since
@@ -59,7 +61,7 @@
         self.owed[sender] = TIMES_TOLD
         if younger := self.is_younger(sender):
             self.back_us = now + BACK_US
-        return younger
+        return younger and not word.is_answer
 
     def on_way_back(self, now: int) -> bool:
         """Whether this gateway, or a peer that it has heard of, has started a short while ago."""
@@ -74,9 +76,3 @@
         """Whether a peer has restarted since this gateway was first asked, a short while ago: what it held of
         its customers is gone, and it has not seen much since."""
         return self.is_younger(peer) and now - self.peers[peer][1] < BACK_US
-
-    def knows_more(self, peer: int, now: int) -> bool:
-        """Whether this gateway has restarted a short while ago, and a peer is not known to have too."""
-        known = self.peers.get(peer)
-        older = known is None or known[1] + OLDER_US < self.first_us
-        return self.restarted and older and now - self.first_us < BACK_US
--- a/model/day.py
+++ b/model/day.py
@@ -102,7 +102,8 @@
             message_price=scenario.prices.peer, probe_price=scenario.prices.probe,
             answer_grace_us=GRACE_US, ask_within_us=10 * S, cold_from=scenario.cold_from,
             warm_within_us=round(scenario.warm_within_s * S), fall_multiple=scenario.fall_multiple,
-            fall_us=round(scenario.fall_s * S), leased=scenario.leased,
+            fall_us=round(scenario.fall_s * S),
+            leased=scenario.leased or scenario.leased_quotas, leased_quotas=scenario.leased_quotas,
         )
         known = {field.name for field in fields(i.Settings)}  # an older revision has fewer
         return i.Settings(**{name: value for name, value in told.items() if name in known})
--- a/model/scenario.py
+++ b/model/scenario.py
@@ -195,6 +195,7 @@
     drain_grace_ms: Positive = 250.0
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=20)] = 5
     leased: bool = False  # ceilings are divided by a steward's leases, not by fixed parts and words
+    leased_quotas: bool = False  # quotas too
     stored: bool = False  # doors store what they know about every second, for their next start
     takeover: bool = False  # keyed work in hand is kept by a steward, and outlives its door
     servers: Servers = Servers()
--- a/molereach/allowance.py
+++ b/molereach/allowance.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from fennelwinch import interface as i
-from fennelwinch.allowances import wanted
+from fennelwinch.allowances import wanted, whole_of
 from molereach.backends import now_us
 from molereach.config import Config
 from steward.client import RENEW_SHARE, Renewer
@@ -30,7 +30,7 @@
 
 
 class Allowances:
-    """One start's parts of the customers' ceilings, and of the fleet's further attempts."""
+    """One start's parts of customers' ceilings, quotas and openings, and of the fleet's further attempts."""
 
     def __init__(self, door: FrontDoor, config: Config) -> None:
         self.door, self.plans = door, {number: name for name, number in config.plan_numbers.items()}
@@ -65,15 +65,14 @@
         """A budget as the steward knows it."""
         if key is None:
             return FURTHER
-        customer, plan, first, size = key
-        return f"ceiling/{self.plans[plan]}/{first}.{size}/{customer:08x}"
+        kind, customer, plan, first, size = key
+        return f"{kind}/{self.plans[plan]}/{first}.{size}/{customer:08x}"
 
     def terms(self, key: i.Key) -> Terms:
         if key is None:
             settings = self.door.settings
-            return Terms(round(settings.further_rate * THOUSANDTHS), int(settings.further_burst))
-        plan = self.door.settings.plans[key[1]]
-        return Terms(round(plan.ceiling_rate * THOUSANDTHS), int(plan.ceiling_burst))
+            return Terms.of(settings.further_rate, settings.further_burst)
+        return Terms.of(*whole_of(key[0], self.door.settings.plans[key[2]]))
 
     def prepare(self) -> None:
         """Tell the holder of all budgets that a part is needed of; others are let go of by it."""
@@ -81,9 +80,10 @@
         for want in wanted(self.door.gateway, now_us())[:MOST_WANTED]:
             name = self.name(want.key)
             self.keys[name] = want.key
-            need = math.ceil(want.need)
+            need, terms = math.ceil(want.need), self.terms(want.key)
             self.needs += need
-            self.holder.use(name, self.terms(want.key), round(want.demand * THOUSANDTHS), now, need)
+            demand = round(want.demand * (THOUSANDTHS if terms.burst else 1))
+            self.holder.use(name, terms, demand, now, need, want.used)
             self.holder.parts[name].back = want.back  # the store is the module's, and so is what it gave up
         for name in [name for name in self.keys if name not in self.holder.parts]:
             del self.keys[name]
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -24,6 +24,8 @@
     lease_ms: int
     further_rate: float = 0.0  # of all front doors' further attempts, a second; 0: not divided
     further_burst: float = 0.0
+    quotas: bool = False  # whether customers' quotas are divided too, and what plans let be open at once
+    open: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +153,16 @@
             raise ConfigError(f"the steward's further_attempts have no {name} from 0 to 1000000")
     if rate and burst < 1:
         raise ConfigError("the steward's further_attempts have a burst of less than 1")
-    return Steward(read_addresses(values["addresses"]), secret, lease_ms, float(rate), float(burst))
+    return Steward(read_addresses(values["addresses"]), secret, lease_ms, float(rate), float(burst),
+                   flag(values, "quotas"), flag(values, "open"))
+
+
+def leased(settings: i.Settings, steward: Steward | None) -> i.Settings:
+    """The settings with what a steward divides."""
+    if steward is None:
+        return settings
+    return replace(settings, leased=True, leased_quotas=steward.quotas, leased_open=steward.open,
+                   further_rate=steward.further_rate, further_burst=steward.further_burst)
 
 
 def path_of(values: Mapping[str, Any], name: str) -> str:
@@ -172,9 +183,7 @@
         name=env.get("PROXY_NAME") or values["name"],
         listen=read_address(env.get("PROXY_LISTEN") or values["listen"]),
         discovery=read_addresses(env.get("PROXY_DISCOVERY") or values["discovery"]),
-        settings=replace(read_settings(int(values["seed"], 16), pairs), leased=steward is not None,
-                         further_rate=steward.further_rate if steward else 0.0,
-                         further_burst=steward.further_burst if steward else 0.0),
+        settings=leased(read_settings(int(values["seed"], 16), pairs), steward),
         class_numbers=numbers(settings["categories"]),
         plan_numbers=numbers(settings["plans"]),
         zone_numbers=numbers(settings.get("zones")),
--- a/steward/__main__.py
+++ b/steward/__main__.py
@@ -154,7 +154,7 @@
 @click.option("--budgets", type=click.IntRange(1, 2), default=2, show_default=True)
 @click.option("--depth", type=click.IntRange(1, 12), default=5, show_default=True, help="Events.")
 @click.option("--walks", type=click.IntRange(0, 10**6), default=2000, show_default=True,
-              help="Random ways of 40 events besides, and as many by messages alone.")
+              help="Random ways of 40 events besides, as many by messages alone, and by openings.")
 @click.option("--planted", is_flag=True, help="Plant each fault, and tell how it is found.")
 @click.option("--seed", type=click.IntRange(0, 2**53), default=1, show_default=True)
 def check_(doors: int, budgets: int, depth: int, walks: int, planted: bool, seed: int) -> None:
--- a/steward/check.py
+++ b/steward/check.py
@@ -6,8 +6,8 @@
 comes back with its log, it is lost with its log and another begins, or it stands still in the middle of an
 ask while another takes over with its log (steward/tenure.py), and then goes on.
 
-What must hold in every state: the parts that all holders may use add up to no more than the whole; and units
-spent, held and pooled are no more than came in.
+What must hold in every state: the parts that all holders may use add up to no more than the whole; what is
+open under leases that last is no more; and units spent, held and pooled are no more than came in.
 """
 
 from __future__ import annotations
@@ -18,6 +18,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
+import msgspec
+
 from steward.holder import Holder, Part
 from steward.messages import Answer, Ask, Grant, Want
 from steward.state import Budget, Holding, State, Terms, floor, granted, parted
@@ -82,6 +84,18 @@
         return True
 
 
+class Careless(Holder):
+    """Planted: a holder agrees to less of a count than it has in use."""
+
+    def ask(self, now_ms: int) -> Ask:
+        ask = super().ask(now_ms)
+        return msgspec.structs.replace(
+            ask, wants=tuple(msgspec.structs.replace(want, used=0) for want in ask.wants))
+
+    def agrees(self, part: Part, amount: int, now_ms: int) -> bool:
+        return True
+
+
 @dataclass(frozen=True)
 class Kind:
     """What is checked: the machine as it is, or with a fault planted."""
@@ -102,6 +116,7 @@
     Kind("units counted back twice", steward=TwiceBack),
     Kind("units pooled while a loss is waited out", steward=EagerPool),
     Kind("the look for a later term before the log", looks_last=False),
+    Kind("a count that shrinks below what is in use", holder=Careless),
 )
 
 
@@ -161,7 +176,8 @@
 
 def key_of_holder(holder: Holder) -> tuple[object, ...]:
     return (holder.door, holder.mark, holder.serial, tuple(holder.asked_ms.items()), tuple(
-        (name, part.part, part.fence, part.until_ms, part.level_thousandths, part.level_at_ms, part.back)
+        (name, part.part, part.fence, part.until_ms, part.level_thousandths, part.level_at_ms, part.back,
+         part.used)
         for name, part in holder.parts.items()))
 
 
@@ -207,6 +223,11 @@
             yield f"door {holder.door} (start {holder.mark}) asks", by(ask, number)
         if any(part.level_thousandths >= 1000 for part in holder.parts.values()):
             yield f"door {holder.door} (start {holder.mark}) spends", by(spend, number)
+        if "open" in holder.parts:
+            if holder.held("open", world.now_ms) > holder.parts["open"].used:
+                yield f"door {holder.door} (start {holder.mark}) opens all it may", by(open_all, number)
+            if holder.parts["open"].used:
+                yield f"door {holder.door} (start {holder.mark}) closes one", by(close_one, number)
     for message in dict.fromkeys(world.messages):
         who = f"door {message.door} (start {message.mark})"
         if isinstance(message, Ask):
@@ -279,6 +300,16 @@
         world.spent += 1000 * units
 
 
+def open_all(world: World, number: int) -> None:
+    """As many as it may have open."""
+    holder = world.holders[number]
+    holder.parts["open"].used = holder.held("open", world.now_ms)
+
+
+def close_one(world: World, number: int) -> None:
+    world.holders[number].parts["open"].used -= 1
+
+
 def recover(world: World) -> None:
     """A process with the log of the one before it; what was in its pool is not in the log."""
     old = world.steward
@@ -308,6 +339,11 @@
         held = sum(holder.held(name, world.now_ms) - own for holder in world.holders) + world.doors * own
         if held > parted(budget.terms) + world.doors * own:
             return f"{held} of '{name}' is held, {parted(budget.terms)} is divided beside the floors"
+    # What was opened under a lease that is over ends by itself; nothing new is opened under it.
+    open_now = sum(part.used for holder in world.holders
+                   for part in [holder.parts.get("open")] if part and world.now_ms < part.until_ms)
+    if open_now > granted(COUNT.whole):
+        return f"{open_now} are open, {granted(COUNT.whole)} are divided"
     came = world.credit + RATE.whole * (world.now_ms - world.began_ms) // 1000
     came += RATE.whole // 10 * (world.now_ms - world.began_ms) // 1000  # floors of starts before the latest
     there = world.spent + units_there(world)
@@ -369,12 +405,14 @@
 
 
 def stray_all(kind: Kind, doors: int, count: int, walks: int, length: int, seed: int) -> Outcome:
-    """Ways by all events, and as many by talk alone."""
-    found = wander(kind, doors, count, walks, length, seed)
-    if found.broken:
-        return found
-    more = wander(kind, doors, count, walks, length, seed, TALK)
-    return replace(more, states=found.states + more.states)
+    """Ways by all events, as many by talk alone, and as many by talk and what is opened of a count."""
+    states = 0
+    for budgets, only in ((count, ()), (count, TALK), (2, (*TALK, " opens"))):
+        found = wander(kind, doors, budgets, walks, length, seed, only)
+        states += found.states
+        if found.broken:
+            break
+    return replace(found, states=states)
 
 
 class Checked(Protocol):
--- a/steward/config.py
+++ b/steward/config.py
@@ -33,7 +33,6 @@
 from steward.state import LEASE_MS, LEAST_LEASE_MS, MOST_LEASE_MS, Terms
 
 MOST_NAME = 120  # characters of a budget's name
-THOUSANDTHS = 1000
 
 
 class ConfigError(Exception):
@@ -49,9 +48,7 @@
     open: Annotated[int, msgspec.Meta(ge=1, le=10**6)] | None = None
 
     def terms(self) -> Terms:
-        if self.open is not None:
-            return Terms(self.open)
-        return Terms(round(self.rate * THOUSANDTHS), self.burst)
+        return Terms.of(self.rate or 0.0, self.burst if self.open is None else self.open)
 
 
 class Config(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/steward/holder.py
+++ b/steward/holder.py
@@ -31,6 +31,7 @@
     back: int = 0  # units that did not fit in any more with the grant of this fence
     used_ms: int = 0  # when there was demand last
     need: int = 0  # units that are waited for now
+    used: int = 0  # of a count: how much is in use
 
 
 class Holder:
@@ -43,12 +44,12 @@
         self.asked_ms: dict[int, int] = {}  # by serial: when each ask that is unanswered was made
         self.parts: dict[str, Part] = {}
 
-    def use(self, budget: str, terms: Terms, demand: int, now_ms: int, need: int = 0) -> None:
+    def use(self, budget: str, terms: Terms, demand: int, now_ms: int, need: int = 0, used: int = 0) -> None:
         """There is demand for a budget: it is asked for until there has been none for a while."""
         part = self.parts.get(budget)
         if part is None:
             part = self.parts[budget] = Part(terms, level_at_ms=now_ms)
-        part.demand, part.used_ms, part.need = demand, now_ms, need
+        part.demand, part.used_ms, part.need, part.used = demand, now_ms, need, used
 
     def ask(self, now_ms: int) -> Ask:
         """The next ask: made before it is sent, as the lease counts from here."""
@@ -59,7 +60,7 @@
         for serial in [serial for serial in self.asked_ms if serial <= self.serial - MOST_ASKS]:
             del self.asked_ms[serial]
         wants = tuple(Want(budget=name, demand=part.demand, fence=part.fence, back=part.back,
-                           need=part.need)
+                           need=part.need, used=part.used)
                       for name, part in self.parts.items())
         return Ask(door=self.door, mark=self.mark, serial=self.serial, wants=wants)
 
@@ -73,7 +74,8 @@
             return False
         for grant in answer.grants:
             part = self.parts.get(grant.budget)
-            if part is not None and self.is_newer(part, grant.fence):
+            newer = part is not None and self.is_newer(part, grant.fence)
+            if newer and self.agrees(part, grant.part, now_ms):
                 self.take_over(part, grant.part, grant.fence, grant.units, until_ms, now_ms)
         return True
 
@@ -85,6 +87,10 @@
         """Fences only rise: an answer that was overtaken is of no use."""
         return fence > part.fence
 
+    def agrees(self, part: Part, amount: int, now_ms: int) -> bool:
+        """Of a count, to no less than is in use: what came into use since the ask, the next one tells."""
+        return bool(part.terms.burst) or amount >= min(part.used, part.part) or now_ms >= part.until_ms
+
     def take_over(self, part: Part, amount: int, fence: int, units: int, until_ms: int, now_ms: int) -> None:
         self.fill(part, now_ms)
         part.part, part.fence, part.until_ms, part.came = amount, fence, until_ms, units
--- a/steward/messages.py
+++ b/steward/messages.py
@@ -13,7 +13,7 @@
     """What a holder asks of one budget: its demand lately, and the last grant that it has taken over.
 
     `back` are unspent units that it gave back when it took that grant over: they no longer fit in. `need` are
-    units that are waited for now, beyond what it has.
+    units that are waited for now, beyond what it has; `used` is how much of a count is in use.
     """
 
     budget: str
@@ -21,6 +21,7 @@
     fence: int = 0
     back: int = 0
     need: int = 0
+    used: int = 0
 
 
 class Ask(Message):
--- a/steward/state.py
+++ b/steward/state.py
@@ -41,6 +41,11 @@
     whole: int
     burst: int = 0
 
+    @classmethod
+    def of(cls, rate: float, burst: float) -> Terms:
+        """Those of so many units a second and at once; with no rate, of a count."""
+        return cls(round(rate * 1000), int(burst)) if rate else cls(int(burst))
+
 
 @dataclass(frozen=True, slots=True)
 class Issued:
@@ -92,10 +97,14 @@
     return whole - whole // FLOOR_SHARE
 
 
-def parted(terms: Terms) -> int:
-    """What is divided in parts: all that is granted of a count; of a rate what is not left to the pool."""
+def parted(terms: Terms, holders: int = 1) -> int:
+    """What is divided in parts: all that is granted of a count; of a rate what is not left to the pool, and
+    nothing where a part's share of the burst holds no whole unit, which nobody could spend."""
     whole = granted(terms.whole)
-    return whole - whole * POOL_PERCENT // 100 if terms.burst else whole
+    if not terms.burst:
+        return whole
+    parts = whole - whole * POOL_PERCENT // 100
+    return parts if terms.burst * parts >= terms.whole * holders else 0
 
 
 class State:
@@ -190,11 +199,13 @@
                 del budget.holdings[name]
             return None
         present = holding.issued[-1].part if holding.issued else 0
-        whole = parted(budget.terms)
+        whole = parted(budget.terms, len(budget.holdings))
         wanted = divide(whole, {who: one.demand for who, one in budget.holdings.items()}, budget.turn)[name]
         budget.turn += 1
         others = budget.bound - holding.bound
         part = min(self.step(present, wanted, whole), max(0, whole - others))
+        if not budget.terms.burst:  # what is in use is no holder's to agree to: it ends by itself
+            part = max(part, min(want.used, holding.bound))
         return self.issue(budget, holding, want, part, now_ms)
 
     def step(self, present: int, wanted: int, whole: int) -> int:
