--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -253,9 +253,11 @@
             plans = zip(self.plan.fleet.plans, self.world.plans, strict=True)
             config.write_text(tomli_w.dumps({
                 "doors": self.plan.fleet.doors, "lease_ms": LEASE_MS,
-                "budgets": [*({"name": f"ceiling/{plan.name}/*", "rate": figures.ceiling[0],
-                               "burst": int(figures.ceiling[1])}
-                              for plan, figures in plans if figures.ceiling[0]),
+                "budgets": [*({"name": f"{kind}/{plan.name}/*", "rate": rate, "burst": int(burst)}
+                              for plan, figures in plans
+                              for kind, rate, burst in (("ceiling", *figures.ceiling[:2]),
+                                                        ("quota", figures.rate, figures.burst))
+                              if rate and burst >= 1 and (kind == "ceiling" or self.plan.quotas)),
                             *({"name": FURTHER, "rate": rate, "burst": int(burst)}
                               for rate, burst in [self.plan.further or (0, 0)] if rate)]}))
             secret.write_text(f"{random.Random(self.seed).getrandbits(256):064x}")
@@ -285,7 +287,8 @@
         at = self.members[door].number % len(relays)
         told = {"addresses": ",".join(relays[at:] + relays[:at]),
                 "secret_file": str(found[0].folder / "secret")}
-        config: dict[str, Any] = {"steward": {**told, "lease_ms": LEASE_MS}} if self.plan.steward else {}
+        leased = {**told, "lease_ms": LEASE_MS, "quotas": self.plan.quotas}
+        config: dict[str, Any] = {"steward": leased} if self.plan.steward else {}
         if self.plan.further:
             rate, burst = self.plan.further
             config["steward"]["further_attempts"] = {"rate": rate, "burst": int(burst)}
--- a/rig/leases.py
+++ b/rig/leases.py
@@ -133,17 +133,19 @@
 
 
 def wholes(seen: Seen) -> dict[str, int]:
-    """What is divided in parts, by plan for ceilings, and of further attempts: thousandths a second."""
+    """What is divided in parts, by kind and plan, and of further attempts: thousandths a second."""
     world = World(seen.plan.fleet, seen.seed, Clock())
-    found = {plan.name: figures.ceiling for plan, figures in
-             zip(seen.plan.fleet.plans, world.plans, strict=True) if figures.ceiling[0]}
+    found = {}
+    for plan, figures in zip(seen.plan.fleet.plans, world.plans, strict=True):
+        found |= {f"quota/{plan.name}": (figures.rate, figures.burst)} if seen.plan.quotas else {}
+        found |= {f"ceiling/{plan.name}": figures.ceiling} if figures.ceiling[0] else {}
     if seen.plan.further:
         found[FURTHER] = seen.plan.further
     return {name: parted(Terms(round(rate * 1000), int(burst))) for name, (rate, burst, *_) in found.items()}
 
 
 def whole_of(wholes: dict[str, int], budget: str) -> int:
-    return wholes[budget.split("/")[1] if "/" in budget else budget]
+    return wholes["/".join(budget.split("/")[:2])]
 
 
 def by_budget(seen: Seen) -> dict[str, list[Held]]:
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -91,6 +91,7 @@
     follower: bool = True  # a second list service, which every other door reads
     lease_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 3.0
     steward: bool = False  # ceilings are divided by leases; else by fixed parts and words
+    quotas: bool = False  # quotas by leases too
     stewards: Annotated[int, msgspec.Meta(ge=1, le=3)] = 1  # processes: one serves, others stand by
     further: tuple[Amount, Amount] | None = None  # attempts of all doors, a second and at once, by leases
     takeover: tuple[str, ...] = ()  # classes of which work in hand is kept by a steward, for another door
@@ -129,6 +130,8 @@
         raise RigError(f"{name}: takeover names a class '{min(strange)}' that is none")
     if plan.further and not (plan.steward and plan.further[0] and plan.further[1] >= 1):
         raise RigError(f"{name}: further takes a rate and a burst, and a steward that divides budgets")
+    if plan.quotas and not plan.steward:
+        raise RigError(f"{name}: quotas by leases take a steward that divides budgets")
     if fleet.doors > MOST_DOORS or fleet.length_s > MOST_LENGTH_S:
         raise RigError(f"{name}: at most {MOST_DOORS} doors for {MOST_LENGTH_S} s")
     counts: dict[str, Count] = {"doors": fleet.doors, "servers": fleet.servers.count, "clients": plan.clients,
