--- a/tests/test_model_leased.py
+++ b/tests/test_model_leased.py
@@ -57,3 +57,17 @@
                           cwd=ROOT, capture_output=True, text=True, timeout=120, check=False)
     assert done.returncode == 0 and "refused, ceiling half unused" in done.stdout
     assert "asks of the steward" in done.stdout
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_quotas_by_leases_cost_nothing_beyond_them_and_serve_as_well(seed: int) -> None:
+    """A customer's share of the burst at each of many doors is less than a unit: whole units go round."""
+    plain = Scenario(name="fleet", doors=17, length_s=8, servers=Servers(count=12),
+                     demand=Demand(load=(0.5, 0.5)))
+    leased = msgspec.structs.replace(plain, leased_quotas=True)
+    words, leases = days.play(plain, seed), days.play(leased, seed)
+    assert not leases.books.breaks and leases.books.check() == []
+    assert words.prices()["over_quota"] > 0 and leases.prices()["over_quota"] == 0
+    kinds = {name.split("/")[0] for name in leases.leases.state.budgets}
+    assert kinds == {"ceiling", "quota"}
+    assert leases.result()["whole"] > 0.85 * words.result()["whole"]
--- a/tests/test_rig_leases.py
+++ b/tests/test_rig_leases.py
@@ -126,3 +126,16 @@
     assert "steward-0" not in {who for at, who in grants if hung + S // 2 < at < woke}
     last = max(record["at"] for record in stewards.by["started"] if record["who"].startswith("steward"))
     assert any(at > last for at, _ in grants)
+
+
+def test_no_unit_goes_beyond_a_quota_by_leases_whatever_fails() -> None:
+    """Doors killed and paused, every word between doors lost, the steward killed: and no unit is allowed."""
+    plan = load("quotas")
+    assert plan.limits.quota_share == plan.limits.quota_units == 0
+    seen = play_once(plan, 1, HERE, lambda text: None)
+    assert check(seen) == []
+    served = {record["id"] for record in seen.by["end"] if record["how"] == "served"}
+    costly = {plan.name for plan in plan.fleet.plans if plan.over_cost > plan.over_worth}
+    assert sum(record["plan"] in costly and record["id"] in served for record in seen.by["came"]) > 50
+    kinds = {name.split("/")[0] for record in seen.by["granted"] for name in record["parts"]}
+    assert kinds == {"ceiling", "quota"}
