Let what was opened under a lease that is over end by itself in the checker

Seen: steward check, random ways of 40 events: 11 open, 9 divided. The way: a door opens nine, its lease runs out, it comes back and is granted a smaller part while six of the nine are still counted. What a lapsed lease let be opened ends by itself, and no steward can call it back; that is what is promised, and now what is checked.

--- a/steward/check.py
+++ b/steward/check.py
@@ -255,7 +255,11 @@
 
 
 def go_by(world: World, wait_ms: int) -> None:
+    """What was opened under a lease that is over by then has ended by itself, and nobody promises more."""
     world.now_ms += wait_ms
+    for holder in world.holders:
+        if (part := holder.parts.get("open")) and part.until_ms <= world.now_ms:
+            part.used = 0
 
 
 def ask(world: World, number: int) -> None:
@@ -339,7 +343,6 @@
         held = sum(holder.held(name, world.now_ms) - own for holder in world.holders) + world.doors * own
         if held > parted(budget.terms) + world.doors * own:
             return f"{held} of '{name}' is held, {parted(budget.terms)} is divided beside the floors"
-    # What was opened under a lease that is over ends by itself; nothing new is opened under it.
     open_now = sum(part.used for holder in world.holders
                    for part in [holder.parts.get("open")] if part and world.now_ms < part.until_ms)
     if open_now > granted(COUNT.whole):
