--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -60,6 +60,7 @@
         self.cold = False
         self.clock_s = 0.0
         self.watching: asyncio.Task[None] | None = None
+        self.ending = asyncio.Lock()  # held by a fault that ends it, until it serves again
         folder.mkdir(parents=True, exist_ok=True)
 
     @property
--- a/rig/play.py
+++ b/rig/play.py
@@ -6,7 +6,7 @@
 import random
 import signal
 from collections.abc import Callable
-from contextlib import suppress
+from contextlib import nullcontext, suppress
 from pathlib import Path
 from typing import Any
 
@@ -129,7 +129,10 @@
         for _ in range(fault.times):
             act = {"kill": self.kill, "term": self.term, "pause": self.pause, "full_disk": self.full_disk,
                    "move": self.move, "replace": self.replace}.get(fault.kind, self.serve_badly)
-            await act(fault, member, back_s)
+            # One that is ended while it is away, or on its way back, is ended once it serves: it must not be
+            # started twice.
+            async with member.ending if fault.kind in ("kill", "term") else nullcontext():
+                await act(fault, member, back_s)
 
     async def kill(self, fault: Fault, member: Member, back_s: float) -> None:
         self.fleet.kill(member)
--- a/tests/test_rig_recovery.py
+++ b/tests/test_rig_recovery.py
@@ -133,3 +133,23 @@
     back = max(record["at"] for record in seen.by["started"] if record["who"] == f"doors-{homes[0]}")
     served = {record["id"] for record in seen.by["end"] if record["how"] == "served" and record["at"] > back}
     assert {record["door"] for record in seen.by["try"] if record["id"] in served} == set(range(4))
+
+
+def test_a_second_wave_finds_cold_scan_servers_and_an_older_list_and_the_rules_hold() -> None:
+    """On the way back from the first: three in four doors again, half of them with state from an hour ago."""
+    plan, replace = load("waves"), msgspec.structs.replace
+    fleet = replace(plan.fleet, doors=4, length_s=10, servers=replace(plan.fleet.servers, count=4))
+    waves = [Fault(kind="kill", at_s=at_s, numbers=numbers, back_s=(0.3, 0.5), state=state)
+             for at_s, numbers, state in (
+                 (2.0, (0, 1, 2), "none"), (5.0, (0, 1), "stale"), (5.0, (3,), "kept"))]
+    others = [Fault(kind="kill", on="servers", at_s=2.0, numbers=(0, 1), back_s=(0.5, 0.5)),
+              Fault(kind="kill", on="list", at_s=2.0, back_s=(0.7, 0.7), state="old")]
+    plan = replace(plan, fleet=fleet, state=True, faults=(*waves, *others))
+    seen = play_once(plan, 1, HERE, lambda text: None)
+    assert check(seen) == []
+    assert not seen.by["fell"]  # no cold one was pushed over
+    assert sum(record["who"] == "doors-0" for record in seen.by["started"]) == 3
+    assert said(seen, 0).count("is not used: it is 36") == 1 and "takes up a snapshot of" in said(seen, 3)
+    back = max(record["at"] for record in seen.by["started"])
+    served = {record["id"] for record in seen.by["end"] if record["how"] == "served" and record["at"] > back}
+    assert {record["door"] for record in seen.by["try"] if record["id"] in served} == set(range(4))
