Measure what dividing budgets costs the steward of a fleet

Need: what a steward of 200 front doors costs was not measured (docs/ROADMAP.md). Change: python -m bench leases: so many holders ask one real steward at a rate; processor time, time to answer, bytes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -57,6 +57,13 @@
     work_.add_argument("--pairs", type=whole(MOST_PAIRS), default=3, metavar="N", help="of plays")
     work_.add_argument("--pieces", type=whole(10**6), default=10_000, metavar="N", help="at the steward")
     work_.add_argument("--json", type=Path, metavar="FILE", help="keep the figures")
+    leases_ = commands.add_parser("leases", help="what dividing budgets costs the steward")
+    leases_.add_argument("--holders", type=whole(900), default=200, metavar="N", help="front doors")
+    leases_.add_argument("--budgets", type=whole(2000), default=20, metavar="N", help="of each ask")
+    leases_.add_argument("--rate", type=whole(100), default=3, metavar="N", help="asks a second of each")
+    leases_.add_argument("--seconds", type=whole(600), default=5, metavar="N")
+    leases_.add_argument("--seed", type=whole(1 << 30), default=1, metavar="N")
+    leases_.add_argument("--json", type=Path, metavar="FILE", help="keep the figures")
     return found
 
 
@@ -73,6 +80,17 @@
         args.json.write_text(json.dumps(work.as_json(found, by_itself), indent=1) + "\n")
 
 
+async def run_leases(args: argparse.Namespace) -> None:
+    from bench import leases  # its packages are not those of a front door
+
+    if args.json:
+        check_writable(args.json)
+    found = await leases.play(args.holders, args.budgets, args.rate, args.seconds, args.seed)
+    print(leases.table(found))
+    if args.json:
+        args.json.write_text(json.dumps(leases.as_json(found), indent=1) + "\n")
+
+
 async def run_cost(args: argparse.Namespace) -> None:
     unknown = [name for name in args.load or () if name not in LOADS]
     if unknown:
@@ -126,7 +144,8 @@
     task = asyncio.current_task()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-    await {"cost": run_cost, "roster": run_roster, "takeover": run_takeover}[args.command](args)
+    await {"cost": run_cost, "roster": run_roster, "takeover": run_takeover,
+           "leases": run_leases}[args.command](args)
 
 
 def main() -> int:
--- a/bench/work.py
+++ b/bench/work.py
@@ -57,9 +57,9 @@
 
 
 @contextlib.asynccontextmanager
-async def steward(folder: Path, seed: int) -> AsyncIterator[Process]:
-    """A steward as a process of its own; it ends with the block."""
-    (folder / "budgets.toml").write_text("budgets = []\n")
+async def steward(folder: Path, seed: int, budgets: str = "budgets = []\n") -> AsyncIterator[Process]:
+    """A steward as a process of its own, with the text of its configuration; it ends with the block."""
+    (folder / "budgets.toml").write_text(budgets)
     (folder / "secret").write_text(f"{random.Random(seed).getrandbits(256):064x}")
     process = await start_steward(folder)
     try:
--- a/tests/test_bench_work.py
+++ b/tests/test_bench_work.py
@@ -1,4 +1,4 @@
-"""The bench of work in hand: counts and bytes, never speed."""
+"""The benches of what the steward keeps and divides: counts and bytes, never speed."""
 
 import asyncio
 import json
@@ -6,7 +6,9 @@
 import sys
 from dataclasses import replace
 
-from bench import cost, work
+import pytest
+
+from bench import cost, leases, work
 from bench.loads import LOADS
 from bench.process import ROOT, Tree
 
@@ -26,7 +28,18 @@
     assert json.loads(json.dumps(work.as_json(found, alone)))["alone"]["pieces"] == 200
 
 
-def test_bad_input_is_one_line() -> None:
-    done = subprocess.run([sys.executable, "-m", "bench", "takeover", "--pairs", "x"], cwd=ROOT,
+def test_each_ask_of_several_front_doors_is_granted_and_takes_few_bytes() -> None:
+    found = asyncio.run(leases.play(6, 4, 2, 2, 1))
+    # Four asks each, less those that a busy machine has left out.
+    assert found.asks + found.late >= 6 * 4 - 6 and found.asks > 0
+    assert found.granted == found.asks * found.budgets  # every budget of every ask
+    assert found.ask_bytes < 60 + 4 * 80 and found.answer_bytes < 60 + 4 * 80
+    assert "asks a second of one core" in leases.table(found)
+    assert json.loads(json.dumps(leases.as_json(found)))["budgets"] == 4
+
+
+@pytest.mark.parametrize("words", [("takeover", "--pairs"), ("leases", "--holders")])
+def test_bad_input_is_one_line(words: tuple[str, str]) -> None:
+    done = subprocess.run([sys.executable, "-m", "bench", *words, "x"], cwd=ROOT,
                           capture_output=True, text=True, timeout=60, check=False)
-    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "--pairs" in done.stderr
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and words[1] in done.stderr
