Keep what follows from a holder's grants with them, and divide nothing where there is nothing

Cause: a renewal looked through all grants of all holders of a budget three times (Holding.bound, State.lapse_one, State.fill): of 17 holders 240 us a budget, 4,868 us an ask of 20 budgets in the state machine alone.

Change: the most that a holder may believe in and when its first grant ends are set as its grants change; only what is over is looked through; nothing is divided where no part is given out.

--- a/steward/check.py
+++ b/steward/check.py
@@ -151,7 +151,7 @@
     found.fence, found.lease_ms, found.quiet_until_ms = state.fence, state.lease_ms, state.quiet_until_ms
     found.serials = dict(state.serials)
     found.budgets = {
-        name: Budget(one.terms, {who: Holding(list(held.issued), held.demand, held.acked)
+        name: Budget(one.terms, {who: Holding(held.issued, held.demand, held.acked)
                                  for who, held in one.holdings.items()},
                      one.pool_thousandths, one.pool_at_ms, one.turn)
         for name, one in state.budgets.items()}
@@ -161,7 +161,7 @@
 def key_of_state(state: Steward) -> tuple[object, ...]:
     return (state.fence, state.quiet_until_ms, tuple(sorted(state.serials.items())), tuple(
         (name, one.pool_thousandths, one.pool_at_ms, one.turn, tuple(
-            (who, tuple(held.issued), held.demand, held.acked)
+            (who, held.issued, held.demand, held.acked)
             for who, held in sorted(one.holdings.items())))
         for name, one in state.budgets.items()))
 
--- a/steward/division.py
+++ b/steward/division.py
@@ -17,10 +17,10 @@
     below nothing.
     """
     names = sorted(demands)
-    if not names:
-        return {}
     parts = dict.fromkeys(names, 0)
-    left, wanting = max(0, whole), [name for name in names if demands[name] > 0]
+    if not names or whole <= 0:
+        return parts
+    left, wanting = whole, [name for name in names if demands[name] > 0]
     while left and wanting:
         each = left // len(wanting)
         if not each:
--- a/steward/state.py
+++ b/steward/state.py
@@ -57,18 +57,27 @@
     units: int = 0
 
 
-@dataclass(slots=True)
 class Holding:
-    """One holder's grants of one budget, oldest first, and its demand."""
+    """One holder's grants of one budget, oldest first, and its demand. What follows from the grants is kept
+    with them: it is asked for at each renewal of any holder."""
+
+    __slots__ = ("acked", "bound", "demand", "ends_ms", "grants")
 
-    issued: list[Issued] = field(default_factory=list)
-    demand: int = 0
-    acked: int = 0  # the latest grant that it has told of having taken over
+    def __init__(self, issued: Iterable[Issued] = (), demand: int = 0, acked: int = 0) -> None:
+        self.demand = demand
+        self.acked = acked  # the latest grant that it has told of having taken over
+        self.issued = issued
 
     @property
-    def bound(self) -> int:
-        """The most that it may believe in."""
-        return max((one.part for one in self.issued), default=0)
+    def issued(self) -> tuple[Issued, ...]:
+        """All that it may still believe in."""
+        return self.grants
+
+    @issued.setter
+    def issued(self, grants: Iterable[Issued]) -> None:
+        self.grants = tuple(grants)
+        self.bound = max((one.part for one in self.grants), default=0)  # the most that it may believe in
+        self.ends_ms = min((one.until_ms for one in self.grants), default=0)  # when the first is over
 
 
 @dataclass(slots=True)
@@ -148,8 +157,9 @@
     def lapse_one(self, budget: Budget, now_ms: int) -> None:
         """What the holder of a part that is over had in its stores counts as spent."""
         self.fill(budget, now_ms)
-        for name, holding in list(budget.holdings.items()):
-            holding.issued = [one for one in holding.issued if one.until_ms > now_ms]
+        for name in [name for name, one in budget.holdings.items() if one.ends_ms <= now_ms]:
+            holding = budget.holdings[name]
+            holding.issued = (one for one in holding.issued if one.until_ms > now_ms)
             if not holding.issued:
                 del budget.holdings[name]
 
@@ -219,7 +229,7 @@
         if known is None or want.fence <= holding.acked:
             return
         holding.acked = want.fence
-        holding.issued = [one for one in holding.issued if one.fence >= want.fence]
+        holding.issued = (one for one in holding.issued if one.fence >= want.fence)
         if budget.terms.burst:
             most = budget.terms.burst * known.part // max(1, budget.terms.whole) + budget.terms.burst
             budget.pool_thousandths += 1000 * max(0, min(want.back, most))
@@ -228,7 +238,7 @@
         self.fence += 1
         units = self.units(budget, part - holding.bound, want.need)
         budget.pool_thousandths -= 1000 * units
-        holding.issued.append(Issued(self.fence, part, self.ends_ms(now_ms), units))
+        holding.issued = (*holding.issued, Issued(self.fence, part, self.ends_ms(now_ms), units))
         return Grant(budget=want.budget, part=part, fence=self.fence, units=units)
 
     def units(self, budget: Budget, grows: int, need: int) -> int:
@@ -253,5 +263,6 @@
         """A grant that was made before this process began, and may be believed in as it says."""
         found = self.budgets.get(budget)
         if found is not None:
-            found.holdings.setdefault(holder, Holding()).issued.append(one)
+            holding = found.holdings.setdefault(holder, Holding())
+            holding.issued = (*holding.issued, one)
         self.fence = max(self.fence, one.fence)
