--- a/model/__main__.py
+++ b/model/__main__.py
@@ -1,4 +1,4 @@
-"""The model's commands: run, compare, takeover, leases, sweep, report and search."""
+"""The model's commands: run, compare, takeover, leases, back, sweep, report and search."""
 
 from __future__ import annotations
 
@@ -8,8 +8,9 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
-from typing import BinaryIO
+from typing import BinaryIO, get_args
 
 import click
 import msgspec
@@ -18,7 +19,7 @@
 from model.commands import HELP, Group, end_on_signals
 from model.errors import ModelError
 from model.experiment import BROKEN, ROOT, Play, Runner, revision, set_constant, table
-from model.scenario import dump, known, load
+from model.scenario import Stored, dump, known, load
 
 
 @click.group("model", cls=Group, context_settings=HELP)
@@ -190,6 +191,46 @@
         click.echo(f"asks of the steward, for each of a client's: {asks:.3f}")
 
 
+def listed(text: str, read: Callable[[str], object], what: str) -> list:
+    """Words with commas between them; a ModelError where one is none of `what`, or comes twice."""
+    try:
+        found = [read(word.strip()) for word in text.split(",") if word.strip()]
+    except (ValueError, KeyError):
+        found = []
+    if not found or len(set(found)) < len(found):
+        raise ModelError(f"'{text}' is not a list of {what}")
+    return found
+
+
+def share(text: str) -> float:
+    if not 0 < float(text) <= 1:
+        raise ValueError(text)
+    return float(text)
+
+
+@cli.command()
+@click.argument("scenario", default="back")
+@click.option("--parts", default="0.5,0.7,0.9,1.0", show_default=True, help="Shares of the doors.")
+@click.option("--states", default="none,kept", show_default=True, help=f"Of {', '.join(get_args(Stored))}.")
+@SEEDS
+@FIRST
+@JOBS
+def back(scenario: str, parts: str, states: str, seeds: int, first: int, jobs: int) -> None:
+    """The way back after several shares of the doors were killed at once, with what they stored and without,
+    against one calm twin a seed."""
+    from model.back import play_all, table
+
+    known_states = {name: name for name in get_args(Stored)}
+    shares, kept = listed(parts, share, "shares"), listed(states, known_states.__getitem__, "states")
+    found = play_all(load(scenario), shares, kept, range(first, first + seeds), jobs,
+                     lambda seed: click.echo(f"seed {seed} is played", err=True))
+    click.echo(f"{'share':6}{'state':6}{'figure':20}{'mean':>10}  difference to none, by pairs [95%]")
+    for part, state, name, mean, apart in table(found):
+        click.echo(f"{part:<6g}{state:6}{name:20}{mean:10.4f}  {apart or ''}")
+    if any(one["broken rules"] for one in found.values()):
+        sys.exit(BROKEN)
+
+
 @cli.command()
 @click.argument("constant")
 @click.argument("scenario")
