Look whether a lease is over before each spend of what was waited for

Seen on rereading: a request that waits is decided on by a store as it was when it came, up to 160 ms before (Quota.end_waits, end_leased_waits), so that a count could be opened after its lease. Result: the new test in tests/test_allowances.py fails without it.

--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -208,7 +208,7 @@
     def end_leased_waits(self, customer: Customer) -> None:
         """Units have come by a lease: whoever waits for them goes on, as far as they go."""
         for job in [job for job in self.waits if job.customer is customer and i.QUOTA in customer.leased]:
-            if customer.chance(job.req.units):
+            if customer.refill(self.now).chance(job.req.units):
                 self.waits.remove(job)
                 if not job.over:
                     self.decide(job, 1.0)
@@ -238,6 +238,8 @@
             if told is None and 0 < job.asks < ASKS and self.now + ASK_US < last:
                 self.ask(job)  # words may be lost
                 continue
+            if job.customer.leased:  # a lease may be over by now
+                job.customer.refill(self.now)
             chance = job.customer.chance(job.req.units)
             # As much the home has counted already, each time that it was asked.
             job.customer.spent -= job.req.units * chance * job.asks
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -157,6 +157,18 @@
     assert alone.may_open()
 
 
+def test_a_lease_that_ends_while_a_request_waits_lets_nothing_be_opened() -> None:
+    plan = i.Plan(rate=1000.0, burst=1000.0, max_out=10)
+    world = World(replace(LEASED, leased_open=True, leased_quotas=True, plans=(plan,)))
+    world.ask("a", set_size=2)
+    grant(world, "quota", 0.9, units=100.0)
+    assert sent(grant(world, "open", 0.1, lasts_us=S // 10)) == ["a"]  # one, with the floor's half
+    world.ask("b", set_size=2)
+    world.run(S // 20)
+    world.answer("a")  # there is room for it now, and nobody looks before its time to wait is over
+    assert [action.id for action in of(i.Refuse, world.run(S))] == ["b"] and "b" not in world.tries
+
+
 def test_what_is_asked_for_is_the_demand_lately() -> None:
     world = gateway()
     for number in range(60):
