Let the module have its say before the back-stop where the process stood still

Cause: an attempt's time-out and the back-stop, 15 ms later, come due in one turn of the loop; the time-out's outcome is handed to the module in the next (FrontDoor.post, call_soon), and the back-stop answered before it (FrontDoor.overdue). Excluded: a request that the module had forgotten; it ends all of them when it is told.

Change: the back-stop looks once more after what is pending has been handed on.

Result: test_requests_that_are_over_after_a_pause_are_each_answered_once, which blocks the process for a second, fails without the change on the line in the log; tests/test_deadlines.py and test_frontdoor.py, 40 passed.

--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -290,6 +290,12 @@
         return self.begin(command, reply, budget, now_us())
 
     def overdue(self, request_id: str) -> None:
+        """Where this process has stood still, what came due meanwhile is still to be handed to the module,
+        which has its say first."""
+        if request_id in self.open:
+            self.loop.call_soon(self.left, request_id)
+
+    def left(self, request_id: str) -> None:
         if request_id in self.open:
             log.error("request %s was left without an answer", request_id)
             self.give_up(request_id)
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -333,8 +333,10 @@
     assert [action.id for action in (*of(i.Refuse, actions), *of(i.Fail, actions))] == ["r1"]
 
 
-def test_requests_that_are_over_after_a_pause_are_each_answered_once() -> None:
-    """Every timer is due at once; what had time left goes on."""
+def test_requests_that_are_over_after_a_pause_are_each_answered_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Every timer is due at once; what had time left goes on. The module has its say before the back-stop."""
 
     async def job() -> None:
         backend = Backend(lambda words: None)
@@ -351,3 +353,4 @@
             assert door.costs.requests == door.costs.served + door.costs.failed == 2
 
     run(job())
+    assert "left without an answer" not in caplog.text
