--- a/steward/division.py
+++ b/steward/division.py
@@ -16,10 +16,10 @@
     the other, beginning at `turn`, so that over many divisions each gets as much. All are whole units, none
     below nothing.
     """
+    if not demands or whole <= 0:
+        return dict.fromkeys(demands, 0)
     names = sorted(demands)
     parts = dict.fromkeys(names, 0)
-    if not names or whole <= 0:
-        return parts
     left, wanting = whole, [name for name in names if demands[name] > 0]
     while left and wanting:
         each = left // len(wanting)
