Declare once what the model's paired commands take

Seen on rereading: takeover and leases declared the same argument and four options, line for line. Change: one decorator, on_scenarios.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -41,6 +41,14 @@
                    help="Keep each run's total as it ends, a JSON line each; what is there already is kept.")
 
 
+def on_scenarios(command: Callable[..., None]) -> Callable[..., None]:
+    """What commands take that play scenarios in pairs."""
+    scenarios = click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
+    for option in (OUT, JOBS, FIRST, SEEDS, scenarios):
+        command = option(command)
+    return command
+
+
 @cli.command()
 @click.argument("scenario")
 @SEED
@@ -154,11 +162,7 @@
 
 
 @cli.command()
-@click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
-@SEEDS
-@FIRST
-@JOBS
-@OUT
+@on_scenarios
 def takeover(scenarios: tuple[str, ...], seeds: int, first: int, jobs: int, out: Path | None) -> None:
     """Scenarios with work in hand lost with its door against kept by a steward, on the same seeds."""
     sides, many = ("lost", "kept"), range(first, first + seeds)
@@ -172,11 +176,7 @@
 
 
 @cli.command()
-@click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
-@SEEDS
-@FIRST
-@JOBS
-@OUT
+@on_scenarios
 @click.option("--quotas", is_flag=True, help="Quotas by leases as well.")
 def leases(
     scenarios: tuple[str, ...], seeds: int, first: int, jobs: int, out: Path | None, quotas: bool
