Use no connection that came up in the moment it was given up

The loop then closes the transport, calls no connection_lost, and is_closing() stays false. Pool.connect took such a connection for usable (backends.py, `connected = connection.usable()` after the except), popped an attempt and wrote to it; the exception ended the task, and the attempt waited for its whole time for nothing.

Change: a connection is usable only where opening it has not failed.

Result: the test forces the crossing (the timeout is moved to now within connection_made).

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -298,16 +298,19 @@
 
     async def connect(self, connection: Connection) -> None:
         """Open a connection for whoever waits longest; bounded, as a machine that is cut off says nothing."""
+        connected = False
         try:
             async with asyncio.timeout(self.owner.connect_s):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
+            connected = connection.usable()  # a backend that is full takes a connection and ends it at once
         except (OSError, TimeoutError):
+            # It may have come up in the moment in which it was given up. The loop has closed its transport
+            # then, which does not say so of itself.
             connection.abort()
             self.connections.discard(connection)
             self.owner.costs.handshakes_failed += 1
         finally:
             self.connecting -= 1
-        connected = connection.usable()  # a backend that is full takes a connection and ends it at once
         self.drop_over()
         if connected and self.waiting:
             connection.send(self.waiting.pop(0))
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -165,6 +165,34 @@
     run(job())
 
 
+def test_connection_that_comes_up_in_the_moment_it_is_given_up_is_not_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time to connect ends between the connection's coming up and its opener's hearing of that."""
+    timeouts: list[asyncio.Timeout] = []
+
+    def kept(delay: float) -> asyncio.Timeout:
+        timeouts.append(asyncio.timeouts.timeout(delay))
+        return timeouts[-1]
+
+    class Crossing(backends.Connection):
+        def connection_made(self, transport: asyncio.Transport) -> None:
+            super().connection_made(transport)
+            timeouts[-1].reschedule(0)
+
+    async def job() -> None:
+        backend = Backend()
+        sender = Sender(await backend.start())
+        sender.backends.connection = Crossing
+        monkeypatch.setattr(asyncio, "timeout", kept)
+        sender.send(timeout_us=60 * S)
+        assert await asyncio.wait_for(sender.result(), 20) is i.Result.CONNECT_FAILED
+        assert sender.backends.count() == 0 and not backend.commands
+        assert sender.backends.pools["s"].connecting == 0
+
+    run(job())
+
+
 def test_idle_connection_is_closed_by_us_first() -> None:
     async def job() -> None:
         backend = Backend()
