--- a/fennelwinch/allowances.py
+++ b/fennelwinch/allowances.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from fennelwinch import interface as i
@@ -22,19 +23,21 @@
 NOTHING: dict[str, Store] = {}  # is leased of most customers: one for all of them, and never changed
 
 
+@dataclass(slots=True)
 class Store:
     """A gateway's part of one budget: units, which come in at the granted share of the rate up to the lease's
     end, and at the floor always. It starts empty, as a restart looks like a first start."""
 
-    __slots__ = ("asked_rate", "asked_us", "at", "back", "burst", "floor", "level", "rate", "share",
-                 "until_us")
-
-    def __init__(self, rate: float, burst: float, sharers: int, now: int) -> None:
-        """`rate` and `burst` are the whole's, in units a second and units; so many share the floor."""
-        self.rate, self.burst, self.floor, self.at = rate, burst, FLOOR / sharers, now
-        self.level, self.share, self.until_us = 0.0, 0.0, -NEVER
-        self.back = 0  # units that the last grant left no room for
-        self.asked_us, self.asked_rate = -NEVER, 0.0  # when it was last asked of; units a second lately
+    rate: float  # the whole's, in units a second; its burst, in units
+    burst: float
+    floor: float  # the share of the whole that nobody grants
+    at: int
+    level: float = 0.0
+    share: float = 0.0
+    until_us: int = -NEVER
+    back: int = 0  # units that the last grant left no room for
+    asked_us: int = -NEVER  # when it was last asked of
+    asked_rate: float = 0.0  # units a second lately
 
     def most(self, now: int) -> float:
         return self.burst * ((self.share if now < self.until_us else 0.0) + self.floor)
@@ -61,29 +64,30 @@
 
 def whole_of(kind: str, plan: i.Plan) -> tuple[float, float]:
     """A customer's budget of that kind, of all gateways: units a second, and units; a count has no rate."""
-    return {i.CEILING: (plan.ceiling_rate, plan.ceiling_burst), i.QUOTA: (plan.rate, plan.burst),
-            i.OPEN: (0.0, plan.max_out)}[kind]
+    if kind == i.CEILING:
+        return plan.ceiling_rate, plan.ceiling_burst
+    return (plan.rate, plan.burst) if kind == i.QUOTA else (0.0, plan.max_out)
 
 
 def stores_of(plan: i.Plan, size: int, settings: i.Settings, now: int) -> dict[str, Store]:
     """What is divided by leases of a customer's budgets, by kind; what is less than a unit is not."""
     leased = ((i.CEILING, settings.leased), (i.QUOTA, settings.leased_quotas), (i.OPEN, settings.leased_open))
     wholes = [(kind, *whole_of(kind, plan)) for kind, on in leased if on]
-    return {kind: Store(rate, burst, size, now) for kind, rate, burst in wholes
-            if burst >= 1 and (rate or kind == i.OPEN)} or NOTHING
+    whole = [(kind, rate, burst) for kind, rate, burst in wholes if burst >= 1 and (rate or kind == i.OPEN)]
+    return {kind: Store(rate, burst, FLOOR / size, now) for kind, rate, burst in whole} or NOTHING
 
 
 def wanted(gateway: Gateway, now: int) -> list[i.Wanted]:
     """The budgets that this gateway needs a part of, with its demand lately."""
     waited: dict[i.Key, float] = {}  # units, or openings, that something waits for
-    lacking = [(i.CEILING, job) for _, _, job in gateway.held
-               if not job.servers and not job.customer.allows(job.req.units)]
+    unsent = [job for _, _, job in gateway.held if not job.servers]
+    lacking = [(i.CEILING, job) for job in unsent if not job.customer.allows(job.req.units)]
     lacking += [(i.QUOTA if job.customer.may_open() else i.OPEN, job) for job in gateway.waits]
     for kind, job in lacking:
         key = (kind, *job.customer.key)
         waited[key] = waited.get(key, 0.0) + (1.0 if kind == i.OPEN else job.req.units)
-    stores = [((kind, *key), store, customer.out) for key, customer in gateway.customers.items()
-              for kind, store in customer.leased.items()]
+    known = gateway.customers.items()
+    stores = [((kind, *key), store, one.out) for key, one in known for kind, store in one.leased.items()]
     if gateway.further:
         waited[None] = float(gateway.not_again)
         stores.insert(0, (None, gateway.further, 0))
--- a/fennelwinch/cap.py
+++ b/fennelwinch/cap.py
@@ -47,8 +47,9 @@
         samples, targets = self.signals[kind], TARGETS[kind]
         self.signals = {"util": [], "latency": []}
         if kind == "latency":  # a jam answers nobody: what is out and overdue counts with its age so far
-            samples += [min(1.0, (self.now - sent) / job.rule.aim_us) for job in self.jobs.values()
-                        for sent in job.out.values() if self.now - sent > self.mean_us[job.req.class_index]]
+            out = [(job, self.now - sent) for job in self.jobs.values() for sent in job.out.values()]
+            overdue = [(job, age) for job, age in out if age > self.mean_us[job.req.class_index]]
+            samples += [min(1.0, age / job.rule.aim_us) for job, age in overdue]
         own = sum(samples)
         self.capacity = self.measure_capacity()
         before, self.counted = self.counted, self.capacity
@@ -83,15 +84,10 @@
         return by_out if self.n_past is None else max(by_out, self.cc_us / self.n_exact)
 
 
-def next_n(n_past: int, na_past: float, occup: float, overhead: float, targets: tuple[float, ...],
-           seconds: float = 1.0) -> int:
-    """The paper's update of N, rounded down."""
-    return max(1, math.floor(next_exact(n_past, na_past, occup, overhead, targets, seconds) + 1e-9))
-
-
-def next_exact(n_past: float, na_past: float, occup: float, overhead: float, targets: tuple[float, ...],
-               seconds: float) -> float:
-    """N before it is rounded; `targets` are max_occup, occ_too_high and min_occup."""
+def next_exact(
+    n_past: float, na_past: float, occup: float, overhead: float, targets: tuple[float, ...], seconds: float
+) -> float:
+    """The paper's update of N, before it is rounded; `targets` are max_occup, occ_too_high and min_occup."""
     max_occup, occ_too_high, min_occup = targets
     if occup < min_occup and na_past < MIN_FRACTION_CALLS * n_past:
         return n_past
--- a/fennelwinch/choice.py
+++ b/fennelwinch/choice.py
@@ -92,9 +92,7 @@
                   and not (tried and server in tried)] or allowed
         # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
         warm_since = now - max(1, self.set.warm_within_us)
-        room = [server for server in usable
-                if server.warm_from <= warm_since or not server.warm_from or (part := self.part(server)) >= 1
-                or (now >= server.next_us and self.random.random() < part)]
+        room = [server for server in usable if server.warm_from <= warm_since or self.has_turn(server)]
         if few:
             return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
         looked_at = self.random.sample(room, min(CHOICES_OF_MANY, len(room)))
@@ -103,6 +101,11 @@
             looked_at += self.random.sample(met, min(CHOICES_OF_MANY, len(met)))
         return min(looked_at, key=self.cost, default=None)
 
+    def has_turn(self, server: Backend) -> bool:
+        """Whether one that may be cold is not passed over this time."""
+        part = self.part(server)
+        return part >= 1 or (self.now >= server.next_us and self.random.random() < part)
+
     def in_group(self, job: Job, server: Backend) -> bool:
         """One that may have run and is not safe: if keyed, it stays where its repeats are dropped, while they
         are."""
--- a/fennelwinch/fleet.py
+++ b/fennelwinch/fleet.py
@@ -8,6 +8,7 @@
 
 import zlib
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from fennelwinch import interface as i
 
@@ -23,13 +24,13 @@
     return zlib.crc32(name.encode()) & 0xFFFF
 
 
+@dataclass(slots=True)
 class Seen:
     """What was seen of one server since the last digest."""
 
-    __slots__ = ("fails", "lags", "oks")
-
-    def __init__(self) -> None:
-        self.lags, self.oks, self.fails = 0.0, 0, 0
+    lags: float = 0.0
+    oks: int = 0
+    fails: int = 0
 
 
 class Fleet:
@@ -75,11 +76,8 @@
         out = {name: count for name, count in outs if count}
         if self.seen or self.samples or out:
             self.serial = (self.serial + 1) % SERIALS
-            nothing = Seen()
-            notes = [
-                i.Note(mark(name), seen.lags / max(1, seen.oks), seen.oks, seen.fails, out.get(name, 0))
-                for name in {**self.seen, **out} for seen in [self.seen.get(name, nothing)]
-            ]
+            seen = [(name, self.seen.get(name, Seen()), out.get(name, 0)) for name in {**self.seen, **out}]
+            notes = [i.Note(mark(name), s.lags / max(1, s.oks), s.oks, s.fails, n) for name, s, n in seen]
             notes.sort(key=lambda note: -note.fails)
             self.digest = i.Digest(self.serial, self.occup / max(1, self.samples), self.samples, tuple(notes))
         self.seen, self.occup, self.samples = {}, 0.0, 0
--- a/fennelwinch/memory.py
+++ b/fennelwinch/memory.py
@@ -1,8 +1,5 @@
-"""What a gateway can take up again after its process has ended: collected now and then, recalled later.
-
-Each part has a bound on its age; what is past it is not used. Times in a memory are from its making on, as
-nobody's clock goes on over a restart.
-"""
+"""What a gateway takes up of a snapshot (snapshot.py) after its process was restarted. Each part of it has a
+bound on its age, past which it is not used."""
 
 from __future__ import annotations
 
@@ -15,20 +12,6 @@
 
 # Bounds on age: N follows load within some OPPUIs; a suspect server is tried again by then.
 CAP_US, HEALTH_US = 5_000_000, 8_000_000
-MOST_CUSTOMERS = 5_000  # the ones seen last: some 100 bytes each
-
-
-def collect(gateway: Gateway) -> i.Memory:
-    """What this gateway knows that would be of use to its successor."""
-    now = gateway.now
-    customers = tuple(
-        i.KeptCustomer(*customer.key, customer.part, customer.level, customer.ceiling, customer.grants)
-        for customer in list(gateway.customers.values())[-MOST_CUSTOMERS:])
-    suspects = tuple(
-        i.KeptSuspect(server.entry.name, max(0, server.avoid_until - now), server.backoff_us, server.lag)
-        for server in gateway.servers.values() if server.on_trial)
-    n_a_second = None if gateway.n_past is None else gateway.n_exact * gateway.second / gateway.cc_us
-    return i.Memory(customers, suspects, n_a_second)
 
 
 def recall(gateway: Gateway, event: i.Recall) -> str:
--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -24,9 +24,6 @@
 class Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    __slots__ = ("at", "ceiling", "ceiling_home", "ceiling_part", "grants", "heard_us", "home",
-                 "key", "leased", "level", "others", "out", "own", "part", "plan", "size", "spent", "untold")
-
     def __init__(
         self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
     ) -> None:
@@ -53,8 +50,8 @@
         self.part, self.level = min(self.part, came / self.size), min(self.level, came)
 
     def refill(self, now: int) -> "Customer":
-        """Refill the parts. Others' demand and the level stay as told while that is fresh, as others go on
-        asking; after that, as when the home has gone, they are what may be by now."""
+        """Refill the parts. Others' demand and the level stay as told while that is fresh; after that they
+        are what may be by now."""
         took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
         flow, most = plan.ceiling_rate * took, plan.ceiling_burst
         for store in self.leased.values():
@@ -186,8 +183,7 @@
             self.ask(job)
 
     def is_silent(self, peer: int) -> bool:
-        """It has answered no ask for long, as one that restarts: waiting for it would cost the aim. Now and
-        then it is asked all the same."""
+        """It has answered no ask for long, as one that restarts. Now and then it is asked all the same."""
         if self.now - self.unanswered.get(peer, self.now) <= SILENT_US:
             return False
         return self.now - self.asked_us.get(peer, 0) < ASK_AGAIN_US
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -9,7 +9,7 @@
 
 from fennelwinch import allowances
 from fennelwinch import interface as i
-from fennelwinch.allowances import Store
+from fennelwinch.allowances import FLOOR, Store
 from fennelwinch.base import NEVER, TICK_US, Job, S
 from fennelwinch.cap import FAIR_N, MOST_PERIODS
 from fennelwinch.choice import FEW_GATEWAYS, SMOOTH, Backend
@@ -23,9 +23,7 @@
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 # When one that the cap keeps out should come again, as a part of its aim: soon enough to be served in time.
 SOON_PART = 5
-# The part of that time over which clients are spread on the way back from restarts. Those told to come as
-# late as they will are not: sooner is only more tries (G -0.005 [-0.009, -0.001] in the model).
-SPREAD = 1.0
+SPREAD = 1.0  # the part of that time over which clients are spread on the way back from restarts
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
 # Results after which the connection is not used again.
@@ -43,8 +41,8 @@
         self.waits_of = [Patience() for _ in settings.classes]  # what all their tries say
         self.retries = RETRY_STORE / 2
         # All gateways' further attempts, divided by leases; none: a share of the first ones here.
-        self.further = Store(settings.further_rate, settings.further_burst, settings.gateways, 0) \
-            if settings.further_rate else None
+        further = Store(settings.further_rate, settings.further_burst, FLOOR / settings.gateways, 0)
+        self.further = further if settings.further_rate else None
         self.not_again = 0  # further attempts that were not begun in this period, as none was left
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
--- a/model/doors.py
+++ b/model/doors.py
@@ -18,7 +18,7 @@
 from model.watched import Decided, Watched
 
 try:
-    from fennelwinch.memory import collect
+    from fennelwinch.snapshot import collect
     from molereach.keep import MOST_AGE_S, SAVE_JITTER, SAVE_S
 except ImportError:  # an older revision's module, which stores nothing
     collect = None
--- a/molereach/keep.py
+++ b/molereach/keep.py
@@ -27,7 +27,7 @@
 import msgspec
 
 from fennelwinch import interface as i
-from fennelwinch.memory import collect
+from fennelwinch.snapshot import collect
 from molereach.config import Config, ConfigError
 
 if TYPE_CHECKING:
--- a/tests/test_keep.py
+++ b/tests/test_keep.py
@@ -14,7 +14,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch import memory
-from fennelwinch.memory import collect
+from fennelwinch.snapshot import collect
 from molereach import keep
 from molereach.config import ConfigError
 from molereach.frontdoor import FrontDoor
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """Scripted events in, actions out: the cap, the quota, the five rules and health."""
 
+import math
 import tomllib
 import zlib
 from dataclasses import replace
@@ -8,7 +9,7 @@
 import pytest
 
 from fennelwinch import interface as i
-from fennelwinch.cap import TARGETS, next_n
+from fennelwinch.cap import TARGETS, next_exact
 from fennelwinch.patience import Patience
 from fennelwinch.rules import Gateway
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
@@ -25,6 +26,11 @@
 # --- the cap ---
 
 
+def next_n(n_past: int, na_past: float, occup: float, overhead: float, seconds: float = 1.0) -> int:
+    """N as a gateway that keeps no remainder would round it down."""
+    return max(1, math.floor(next_exact(n_past, na_past, occup, overhead, UTIL, seconds) + 1e-9))
+
+
 @pytest.mark.parametrize(
     ("n_past", "na_past", "occup", "overhead", "expected"),
     [
@@ -41,7 +47,7 @@
     ],
 )
 def test_next_n_by_hand(n_past: int, na_past: float, occup: float, overhead: float, expected: int) -> None:
-    assert next_n(n_past, na_past, occup, overhead, UTIL) == expected
+    assert next_n(n_past, na_past, occup, overhead) == expected
 
 
 def loaded_world(util: float, plans: tuple[i.Plan, ...] = (i.Plan(),)) -> World:
@@ -84,8 +90,8 @@
             world.answer(name, attempt=attempt, report=i.LoadReport(util=0.9))
     assert world.gateway.cc_us == 2 * S
     assert 4 <= world.gateway.n_past <= 12
-    assert next_n(10, 1, 0.99, 0.1, UTIL, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
-    assert next_n(10, 10, 0.2, 0.3, UTIL, 4.0) == 20
+    assert next_n(10, 1, 0.99, 0.1, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
+    assert next_n(10, 10, 0.2, 0.3, 4.0) == 20
 
 
 def test_cap_in_full_use_is_not_lifted() -> None:
