--- a/bench/leases.py
+++ b/bench/leases.py
@@ -110,12 +110,14 @@
 
 def table(found: Asked) -> str:
     return "\n".join([
-        f"{found.holders} front doors, {found.budgets} budgets each: {found.asks} asks, {found.late} late, "
+        f"{found.holders} front doors, {found.budgets} budgets each: {found.asks} asks, "
+        f"{found.late} late, "
         f"{found.granted} grants",
         f"the steward: {found.processor_us:.0f} us of processor time an ask, "
         f"{1e6 / found.processor_us:.0f} asks a second of one core",
         f"an answer after {found.p50_us / 1000:.1f} ms (median), {found.p99_us / 1000:.1f} ms (99%)",
-        f"bytes: an ask {found.ask_bytes:.0f}, an answer {found.answer_bytes:.0f}, log {found.log_bytes:.0f}",
+        f"bytes: an ask {found.ask_bytes:.0f}, an answer {found.answer_bytes:.0f}, "
+        f"log {found.log_bytes:.0f}",
     ])
 
 
--- a/bench/lists.py
+++ b/bench/lists.py
@@ -152,7 +152,8 @@
     times = sorted(found.write_to_last_ms)
     return "\n".join([
         f"{found.watchers} watchers, {found.instances} leased instances, {len(times)} changes",
-        f"write to the last watcher: median {statistics.median(times):.1f} ms, at most {times[-1]:.1f} ms",
+        f"write to the last watcher: median {statistics.median(times):.1f} ms, "
+        f"at most {times[-1]:.1f} ms",
         f"a change costs each watcher {found.bytes_a_change:.0f} bytes",
         f"a watcher costs the service {found.memory_a_watcher / 1024:.1f} KiB",
         f"a renewal costs the service {found.cpu_a_renewal_us:.0f} us of processor time",
