--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -111,9 +111,13 @@
             found = await cost.pairs(ours, theirs, loads, args.seed, args.port, args.pairs)
             rows = cost.differences(found)
             print(cost.difference_table(rows, args.against))
-            kept = {"seed": args.seed, "against": args.against, "differences": rows,
-                    "here": cost.as_json(ours for ours, _ in found),
-                    "there": cost.as_json(theirs for _, theirs in found)}
+            kept = {
+                "seed": args.seed,
+                "against": args.against,
+                "differences": rows,
+                "here": cost.as_json(ours for ours, _ in found),
+                "there": cost.as_json(theirs for _, theirs in found),
+            }
     if args.json:
         args.json.write_text(json.dumps(kept, indent=1) + "\n")
 
@@ -144,8 +148,9 @@
     task = asyncio.current_task()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-    await {"cost": run_cost, "roster": run_roster, "takeover": run_takeover,
-           "leases": run_leases}[args.command](args)
+    await {"cost": run_cost, "roster": run_roster, "takeover": run_takeover, "leases": run_leases}[
+        args.command
+    ](args)
 
 
 def main() -> int:
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -21,18 +21,45 @@
 REST_S = 0.2  # after the start, before anything is measured
 MOST_REQUESTS = 200_000
 SETTINGS = {
-    "me": 0, "balancers": 2, "zones": ["east"], "kinds": ["m1"], "plans": [PLAN],
+    "me": 0,
+    "balancers": 2,
+    "zones": ["east"],
+    "kinds": ["m1"],
+    "plans": [PLAN],
     "categories": [
-        {"name": "view-sheet", "on-time-us": 400_000, "deadline-us": 2_000_000, "points": 3,
-         "idempotency": "read_like"},
-        {"name": "submit-record", "on-time-us": 750_000, "deadline-us": 2_000_000, "points": 9,
-         "idempotency": "idempotency_key", "group": "zone", "window-us": 4_000_000},
+        {
+            "name": "view-sheet",
+            "on-time-us": 400_000,
+            "deadline-us": 2_000_000,
+            "points": 3,
+            "idempotency": "read_like",
+        },
+        {
+            "name": "submit-record",
+            "on-time-us": 750_000,
+            "deadline-us": 2_000_000,
+            "points": 9,
+            "idempotency": "idempotency_key",
+            "group": "zone",
+            "window-us": 4_000_000,
+        },
     ],
-    "ceilings": {"max-attempts": 5, "conn-idle-us": 30_000_000, "connect-timeout-us": 250_000,
-                 "retry-after": True, "max-retry-after-us": 2_000_000, "may-cancel": True, "peers": True},
+    "ceilings": {
+        "max-attempts": 5,
+        "conn-idle-us": 30_000_000,
+        "connect-timeout-us": 250_000,
+        "retry-after": True,
+        "max-retry-after-us": 2_000_000,
+        "may-cancel": True,
+        "peers": True,
+    },
     "extra": {"mail-per-s": 40.0},
-    "obligations": {"cold-from": 0.5, "warm-within-us": 1_000_000, "fall-multiple": 2.5,
-                    "fall-us": 2_000_000},
+    "obligations": {
+        "cold-from": 0.5,
+        "warm-within-us": 1_000_000,
+        "fall-multiple": 2.5,
+        "fall-us": 2_000_000,
+    },
 }
 
 
@@ -57,18 +84,30 @@
     @property
     def figures(self) -> dict[str, float]:
         """Those that two revisions are compared by."""
-        found = {"processor_us": self.processor_us, "resident_end": self.resident_end,
-                 "resident_idle": self.resident_idle, "descriptors": self.descriptors,
-                 "handshakes": self.handshakes, "datagrams": self.datagrams}
+        found = {
+            "processor_us": self.processor_us,
+            "resident_end": self.resident_end,
+            "resident_idle": self.resident_idle,
+            "descriptors": self.descriptors,
+            "handshakes": self.handshakes,
+            "datagrams": self.datagrams,
+        }
         return {name: value for name, value in found.items() if value is not None}
 
 
 def config(discovery: Address, peer: Address, port: int, seed: int, timed: bool) -> dict[str, Any]:
     own = text((HOST, free_port(socket.SOCK_DGRAM)))
     return {
-        "name": "bench", "listen": text((HOST, port)), "discovery": text(discovery), "seed": f"{seed:016x}",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "time_stages": timed,
-        "peer_listen": own, "peers": [own, text(peer)], "known": {}, "settings": SETTINGS,
+        "name": "bench",
+        "listen": text((HOST, port)),
+        "discovery": text(discovery),
+        "seed": f"{seed:016x}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "time_stages": timed,
+        "peer_listen": own,
+        "peers": [own, text(peer)],
+        "known": {},
+        "settings": SETTINGS,
     }
 
 
@@ -125,13 +164,24 @@
         count = sum(callers.ended.values())
         stages = None
         if said and (after := await process.costs()).get("stages_s"):
-            stages = {name: 1e6 * (spent - said["stages_s"].get(name, 0.0)) / count
-                      for name, spent in after["stages_s"].items()}
+            stages = {
+                name: 1e6 * (spent - said["stages_s"].get(name, 0.0)) / count
+                for name, spent in after["stages_s"].items()
+            }
         served, refused = callers.ended["served"], callers.ended["refused"]
         return Play(
-            load.name, count, served, refused, count - served - refused, used / count, start,
-            process.resident(), idle, (watcher.most_descriptors - quiet) / max(1, watcher.most_open),
-            (world.total("connections") - connections) / count, (world.peer.datagrams - datagrams) / count,
+            load.name,
+            count,
+            served,
+            refused,
+            count - served - refused,
+            used / count,
+            start,
+            process.resident(),
+            idle,
+            (watcher.most_descriptors - quiet) / max(1, watcher.most_open),
+            (world.total("connections") - connections) / count,
+            (world.peer.datagrams - datagrams) / count,
             stages,
         )
     finally:
@@ -172,8 +222,10 @@
     lines = [head, *rows]
     widths = [max(len(line[column]) for line in lines) for column in range(len(head))]
     return "\n".join(
-        "  ".join(cell.ljust(width) if not column else cell.rjust(width)
-                  for column, (cell, width) in enumerate(zip(line, widths, strict=True))).rstrip()
+        "  ".join(
+            cell.ljust(width) if not column else cell.rjust(width)
+            for column, (cell, width) in enumerate(zip(line, widths, strict=True))
+        ).rstrip()
         for line in lines
     )
 
@@ -183,13 +235,35 @@
 
 
 def cost_table(plays: Sequence[Play]) -> str:
-    head = ("load", "requests", "served", "refused", "other", "us/request", "MiB start", "MiB end",
-            "KiB/idle conn", "fds/open", "handshakes", "datagrams")
+    head = (
+        "load",
+        "requests",
+        "served",
+        "refused",
+        "other",
+        "us/request",
+        "MiB start",
+        "MiB end",
+        "KiB/idle conn",
+        "fds/open",
+        "handshakes",
+        "datagrams",
+    )
     rows = [
-        (play.load, str(play.requests), str(play.served), str(play.refused), str(play.other),
-         f"{play.processor_us:.0f}", mib(play.resident_start), mib(play.resident_end),
-         "-" if play.resident_idle is None else f"{play.resident_idle / 1024:.1f}",
-         f"{play.descriptors:.2f}", f"{play.handshakes:.3f}", f"{play.datagrams:.3f}")
+        (
+            play.load,
+            str(play.requests),
+            str(play.served),
+            str(play.refused),
+            str(play.other),
+            f"{play.processor_us:.0f}",
+            mib(play.resident_start),
+            mib(play.resident_end),
+            "-" if play.resident_idle is None else f"{play.resident_idle / 1024:.1f}",
+            f"{play.descriptors:.2f}",
+            f"{play.handshakes:.3f}",
+            f"{play.datagrams:.3f}",
+        )
         for play in plays
     ]
     text = table(head, rows)
@@ -209,13 +283,19 @@
         for name in plays[0][0].figures:
             values = [(ours.figures[name], theirs.figures[name]) for ours, theirs in plays]
             gaps = [ours - theirs for ours, theirs in values]
-            rows.append({
-                "load": load, "figure": name, "pairs": len(gaps),
-                "ours": statistics.fmean(ours for ours, _ in values),
-                "theirs": statistics.fmean(theirs for _, theirs in values),
-                "difference": statistics.fmean(gaps), "least": min(gaps), "most": max(gaps),
-                "deviation": statistics.stdev(gaps) if len(gaps) > 1 else None,
-            })
+            rows.append(
+                {
+                    "load": load,
+                    "figure": name,
+                    "pairs": len(gaps),
+                    "ours": statistics.fmean(ours for ours, _ in values),
+                    "theirs": statistics.fmean(theirs for _, theirs in values),
+                    "difference": statistics.fmean(gaps),
+                    "least": min(gaps),
+                    "most": max(gaps),
+                    "deviation": statistics.stdev(gaps) if len(gaps) > 1 else None,
+                }
+            )
     return rows
 
 
@@ -225,13 +305,24 @@
     def cell(value: float | None) -> str:
         return "-" if value is None else f"{value:.3f}" if abs(value) < 10 else f"{value:.0f}"
 
-    return table(head, [
-        (row["load"], row["figure"], str(row["pairs"]), cell(row["theirs"]), cell(row["ours"]),
-         cell(row["difference"]),
-         f"{100 * row['difference'] / row['theirs']:+.1f}" if row["theirs"] else "-",
-         cell(row["least"]), cell(row["most"]), cell(row["deviation"]))
-        for row in rows
-    ])
+    return table(
+        head,
+        [
+            (
+                row["load"],
+                row["figure"],
+                str(row["pairs"]),
+                cell(row["theirs"]),
+                cell(row["ours"]),
+                cell(row["difference"]),
+                f"{100 * row['difference'] / row['theirs']:+.1f}" if row["theirs"] else "-",
+                cell(row["least"]),
+                cell(row["most"]),
+                cell(row["deviation"]),
+            )
+            for row in rows
+        ],
+    )
 
 
 def as_json(plays: Iterable[Play]) -> list[dict[str, Any]]:
--- a/bench/holders.py
+++ b/bench/holders.py
@@ -64,8 +64,15 @@
                 self.note("held", budget=name, part=part.part, until=part.until_ms, fence=part.fence)
 
     async def run(self) -> None:
-        renewer = Renewer(self.holder, self.told.addresses, self.told.secret.encode(), self.told.lease_ms,
-                          random.Random(self.told.mark), self.want, self.renewed)
+        renewer = Renewer(
+            self.holder,
+            self.told.addresses,
+            self.told.secret.encode(),
+            self.told.lease_ms,
+            random.Random(self.told.mark),
+            self.want,
+            self.renewed,
+        )
         renewing = asyncio.create_task(renewer.run())
         print(f"holder {self.told.door} runs", flush=True)
         try:
--- a/bench/leases.py
+++ b/bench/leases.py
@@ -89,8 +89,16 @@
         begin(folder / "state", read(folder / "begin.toml"))
         async with steward(folder, seed, text) as keeper:
             secret = (folder / "secret").read_bytes()
-            askers = [Asker(number, [f"quota/{number // SET}/{customer}" for customer in range(budgets)],
-                            Line(keeper.address), secret, seed) for number in range(holders)]
+            askers = [
+                Asker(
+                    number,
+                    [f"quota/{number // SET}/{customer}" for customer in range(budgets)],
+                    Line(keeper.address),
+                    secret,
+                    seed,
+                )
+                for number in range(holders)
+            ]
             used = keeper.processor_us()
             await asyncio.gather(*(asker.run(rate, seconds) for asker in askers))
             used = keeper.processor_us() - used
@@ -101,24 +109,34 @@
         for took in asker.took_us:
             histogram.record_value(min(MOST_US, took))
     asks = sum(asker.asks for asker in askers)
-    return Asked(holders, budgets, asks, sum(asker.late for asker in askers),
-                 sum(asker.granted for asker in askers), used / asks,
-                 int(histogram.get_value_at_percentile(50)), int(histogram.get_value_at_percentile(99)),
-                 sum(asker.sent for asker in askers) / asks, sum(asker.got for asker in askers) / asks,
-                 log / asks)
+    return Asked(
+        holders,
+        budgets,
+        asks,
+        sum(asker.late for asker in askers),
+        sum(asker.granted for asker in askers),
+        used / asks,
+        int(histogram.get_value_at_percentile(50)),
+        int(histogram.get_value_at_percentile(99)),
+        sum(asker.sent for asker in askers) / asks,
+        sum(asker.got for asker in askers) / asks,
+        log / asks,
+    )
 
 
 def table(found: Asked) -> str:
-    return "\n".join([
-        f"{found.holders} front doors, {found.budgets} budgets each: {found.asks} asks, "
-        f"{found.late} late, "
-        f"{found.granted} grants",
-        f"the steward: {found.processor_us:.0f} us of processor time an ask, "
-        f"{1e6 / found.processor_us:.0f} asks a second of one core",
-        f"an answer after {found.p50_us / 1000:.1f} ms (median), {found.p99_us / 1000:.1f} ms (99%)",
-        f"bytes: an ask {found.ask_bytes:.0f}, an answer {found.answer_bytes:.0f}, "
-        f"log {found.log_bytes:.0f}",
-    ])
+    return "\n".join(
+        [
+            f"{found.holders} front doors, {found.budgets} budgets each: {found.asks} asks, "
+            f"{found.late} late, "
+            f"{found.granted} grants",
+            f"the steward: {found.processor_us:.0f} us of processor time an ask, "
+            f"{1e6 / found.processor_us:.0f} asks a second of one core",
+            f"an answer after {found.p50_us / 1000:.1f} ms (median), {found.p99_us / 1000:.1f} ms (99%)",
+            f"bytes: an ask {found.ask_bytes:.0f}, an answer {found.answer_bytes:.0f}, "
+            f"log {found.log_bytes:.0f}",
+        ]
+    )
 
 
 def as_json(found: Asked) -> dict[str, Any]:
--- a/bench/lists.py
+++ b/bench/lists.py
@@ -84,7 +84,8 @@
     """A list service as a process of its own; it ends with the block."""
     process, _ = await start_program(
         ("-m", "roster", "--data", str(folder / "list"), "--listen", f"{HOST}:{port}", "--fill", "0"),
-        folder / "log.txt")
+        folder / "log.txt",
+    )
     try:
         yield process
     finally:
@@ -101,8 +102,12 @@
             running = await stack.enter_async_context(service(folder, 0))
             servers = []
             for number in range(instances):
-                values = {"address": f"127.1.{number // 250}.{number % 250 + 1}:6379", "zone": "east",
-                          "machine_type": "m1", "lease_ms": LEASE_MS}
+                values = {
+                    "address": f"127.1.{number // 250}.{number % 250 + 1}:6379",
+                    "zone": "east",
+                    "machine_type": "m1",
+                    "lease_ms": LEASE_MS,
+                }
                 servers.append(Registration("{}:{}".format(*running.address), f"s-{number}", values))
                 await servers[-1].start()
                 stack.push_async_callback(servers[-1].close)
@@ -121,7 +126,8 @@
                 await server.call("PATCH", "", {"generation": server.generation, "lifecycle": lifecycle})
                 await server.call_until_heard("POST", "/renew", None)
                 ends = await asyncio.wait_for(
-                    asyncio.gather(*(reader.reach(server.generation) for reader in readers)), WAIT_S)
+                    asyncio.gather(*(reader.reach(server.generation) for reader in readers)), WAIT_S
+                )
                 times.append((max(ends) - began) * 1000)
             size = (sum(reader.received for reader in readers) - received) / changes / watchers
             used = running.processor_us()
@@ -135,13 +141,15 @@
             counts = [len(reader.connected) for reader in readers]
             again = time.monotonic()
             async with service(folder, port):
-                while any(len(reader.connected) == count
-                          for reader, count in zip(readers, counts, strict=True)):
+                while any(
+                    len(reader.connected) == count for reader, count in zip(readers, counts, strict=True)
+                ):
                     if time.monotonic() - again > WAIT_S:
                         raise BenchError("not all watchers came back")
                     await asyncio.sleep(0.05)
-                waits = [reader.connected[count] - again
-                         for reader, count in zip(readers, counts, strict=True)]
+                waits = [
+                    reader.connected[count] - again for reader, count in zip(readers, counts, strict=True)
+                ]
             spread = [0] * (1 + int(max(waits) / BUCKET_S))
             for wait in waits:
                 spread[int(max(0.0, wait) / BUCKET_S)] += 1
@@ -150,15 +158,17 @@
 
 def table(found: Figures) -> str:
     times = sorted(found.write_to_last_ms)
-    return "\n".join([
-        f"{found.watchers} watchers, {found.instances} leased instances, {len(times)} changes",
-        f"write to the last watcher: median {statistics.median(times):.1f} ms, "
-        f"at most {times[-1]:.1f} ms",
-        f"a change costs each watcher {found.bytes_a_change:.0f} bytes",
-        f"a watcher costs the service {found.memory_a_watcher / 1024:.1f} KiB",
-        f"a renewal costs the service {found.cpu_a_renewal_us:.0f} us of processor time",
-        f"connects after a restart, in each {BUCKET_S:g} s: {' '.join(map(str, found.connects))}",
-    ])
+    return "\n".join(
+        [
+            f"{found.watchers} watchers, {found.instances} leased instances, {len(times)} changes",
+            f"write to the last watcher: median {statistics.median(times):.1f} ms, "
+            f"at most {times[-1]:.1f} ms",
+            f"a change costs each watcher {found.bytes_a_change:.0f} bytes",
+            f"a watcher costs the service {found.memory_a_watcher / 1024:.1f} KiB",
+            f"a renewal costs the service {found.cpu_a_renewal_us:.0f} us of processor time",
+            f"connects after a restart, in each {BUCKET_S:g} s: {' '.join(map(str, found.connects))}",
+        ]
+    )
 
 
 def as_json(found: Figures) -> dict[str, Any]:
--- a/bench/loads.py
+++ b/bench/loads.py
@@ -25,14 +25,37 @@
         return self.servers * self.slots * 1000 / self.work_ms
 
 
-LOADS = {load.name: load for load in (
-    Load("steady", "one request at a time on each connection", requests=2000, rate=400),
-    Load("thin", "as few as a front door of a large fleet sees", requests=400, rate=40),
-    Load("idle", "the same, beside many connections that have gone quiet", requests=2000, rate=400, idle=500),
-    Load("pipelined", "eight commands written at once", requests=2000, rate=400, pipelined=8),
-    Load("overload", "half as much again as the scan servers can do", requests=2000, rate=600,
-         slots=1, waiting=8, work_ms=20.0),
-    Load("wide", "few requests, spread over the scan servers of the whole fleet", requests=2000, rate=400,
-         servers=200),
-    Load("churn", "scan servers are replaced all the time", requests=2000, rate=400, replace_every_s=0.25),
-)}
+LOADS = {
+    load.name: load
+    for load in (
+        Load("steady", "one request at a time on each connection", requests=2000, rate=400),
+        Load("thin", "as few as a front door of a large fleet sees", requests=400, rate=40),
+        Load(
+            "idle",
+            "the same, beside many connections that have gone quiet",
+            requests=2000,
+            rate=400,
+            idle=500,
+        ),
+        Load("pipelined", "eight commands written at once", requests=2000, rate=400, pipelined=8),
+        Load(
+            "overload",
+            "half as much again as the scan servers can do",
+            requests=2000,
+            rate=600,
+            slots=1,
+            waiting=8,
+            work_ms=20.0,
+        ),
+        Load(
+            "wide",
+            "few requests, spread over the scan servers of the whole fleet",
+            requests=2000,
+            rate=400,
+            servers=200,
+        ),
+        Load(
+            "churn", "scan servers are replaced all the time", requests=2000, rate=400, replace_every_s=0.25
+        ),
+    )
+}
--- a/bench/process.py
+++ b/bench/process.py
@@ -63,8 +63,9 @@
     except (OSError, ValueError, KeyError) as error:
         raise BenchError(f"no usable deploy file in {root}: {error}") from error
     try:
-        done = subprocess.run(["/bin/sh", "-c", build], cwd=root, capture_output=True, check=False,
-                              timeout=BUILD_S)
+        done = subprocess.run(
+            ["/bin/sh", "-c", build], cwd=root, capture_output=True, check=False, timeout=BUILD_S
+        )
     except subprocess.TimeoutExpired:
         raise BenchError(f"the build took more than {BUILD_S:.0f} s") from None
     if done.returncode:
@@ -216,8 +217,13 @@
     host, _, port = config["listen"].rpartition(":")
     with log.open("ab") as output:
         process = await asyncio.create_subprocess_shell(
-            tree.run, cwd=tree.root, env={**env, "PROXY_CONFIG": str(file)}, stdin=asyncio.subprocess.DEVNULL,
-            stdout=output, stderr=output, start_new_session=True,  # a group of its own, ended as one
+            tree.run,
+            cwd=tree.root,
+            env={**env, "PROXY_CONFIG": str(file)},
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
+            start_new_session=True,  # a group of its own, ended as one
             preexec_fn=die_with_parent,
         )
     return Process(process, log, (host, int(port)))
@@ -240,8 +246,14 @@
     """A Python program of the project's own, in a group of its own; it dies with this process."""
     with log.open("ab") as errors:
         return await asyncio.create_subprocess_exec(
-            sys.executable, *words, cwd=ROOT, stderr=errors, start_new_session=True,
-            preexec_fn=die_with_parent, **more)
+            sys.executable,
+            *words,
+            cwd=ROOT,
+            stderr=errors,
+            start_new_session=True,
+            preexec_fn=die_with_parent,
+            **more,
+        )
 
 
 async def start_quiet(words: Sequence[str], log: Path, address: Address) -> Process:
--- a/bench/standins.py
+++ b/bench/standins.py
@@ -89,8 +89,16 @@
 
 
 def entry(server: ScanServer, lifecycle: str) -> dict[str, Any]:
-    return {"instanceId": server.name, "hostPort": text(server.address), "zone": "east",
-            "machineType": "m1", "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
+    return {
+        "instanceId": server.name,
+        "hostPort": text(server.address),
+        "zone": "east",
+        "machineType": "m1",
+        "cell": 0,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
 
 
 class Discovery:
@@ -169,9 +177,19 @@
         self.datagrams += 1
         words, _ = unpack_message(data) or ((), None)
         answers = [
-            i.Word(word.customer, word.plan_index, word.set_first, word.set_size, True,
-                   demand=word.demand, spent=word.asked, asked=word.asked, level=self.level)
-            for word in words if not word.is_answer and word.asked
+            i.Word(
+                word.customer,
+                word.plan_index,
+                word.set_first,
+                word.set_size,
+                True,
+                demand=word.demand,
+                spent=word.asked,
+                asked=word.asked,
+                level=self.level,
+            )
+            for word in words
+            if not word.is_answer and word.asked
         ]
         if answers:
             for message in pack_message(answers):
--- a/bench/work.py
+++ b/bench/work.py
@@ -51,8 +51,21 @@
 async def start_steward(folder: Path) -> Process:
     """With the files in a folder: `budgets.toml`, `secret`, and `state` if it was there before."""
     process, _ = await start_program(
-        ("-m", "steward", "serve", "--data", str(folder / "state"), "--config", str(folder / "budgets.toml"),
-         "--secret", str(folder / "secret"), "--listen", f"{HOST}:0"), folder / "steward.log")
+        (
+            "-m",
+            "steward",
+            "serve",
+            "--data",
+            str(folder / "state"),
+            "--config",
+            str(folder / "budgets.toml"),
+            "--secret",
+            str(folder / "secret"),
+            "--listen",
+            f"{HOST}:0",
+        ),
+        folder / "steward.log",
+    )
     return process
 
 
@@ -80,8 +93,11 @@
             async with contextlib.AsyncExitStack() as stack:
                 keeper = await stack.enter_async_context(steward(folder, seed)) if kept else None
                 if keeper:
-                    values["takeover"] = {"addresses": text(keeper.address), "classes": ["submit-record"],
-                                          "secret_file": str(folder / "secret")}
+                    values["takeover"] = {
+                        "addresses": text(keeper.address),
+                        "classes": ["submit-record"],
+                        "secret_file": str(folder / "secret"),
+                    }
                 door = await stack.enter_async_context(front_door(tree, values, folder))
                 return await measure(door, keeper, world, load, seed)
         except OSError as error:
@@ -103,17 +119,26 @@
         for took in callers.took_us:
             histogram.record_value(min(MOST_US, took))
         count = sum(callers.ended.values())
-        return Figures(keeper is not None, count, callers.ended["served"], used / count, other / count,
-                       door.resident(), int(histogram.get_value_at_percentile(50)),
-                       int(histogram.get_value_at_percentile(99)))
+        return Figures(
+            keeper is not None,
+            count,
+            callers.ended["served"],
+            used / count,
+            other / count,
+            door.resident(),
+            int(histogram.get_value_at_percentile(50)),
+            int(histogram.get_value_at_percentile(99)),
+        )
     finally:
         callers.close()
 
 
 async def pairs(tree: Tree, load: Load, seed: int, count: int) -> list[tuple[Figures, Figures]]:
     """Plays with it off and on, in turns."""
-    return [(await play(tree, load, seed + n, False), await play(tree, load, seed + n, True))
-            for n in range(count)]
+    return [
+        (await play(tree, load, seed + n, False), await play(tree, load, seed + n, True))
+        for n in range(count)
+    ]
 
 
 @dataclass(frozen=True)
@@ -144,8 +169,20 @@
                 last = min(pieces, first + MOST_OPS)
                 names = [f"{number % 97:016x}/{number}" for number in range(first, last)]
                 for name in names:
-                    hand.add(Begin(name=name, id=name, digest="d", customer=name[:16], effect="keyed",
-                                   left_ms=2000, window_ms=0, request=BODY, server="s", place="east"))
+                    hand.add(
+                        Begin(
+                            name=name,
+                            id=name,
+                            digest="d",
+                            customer=name[:16],
+                            effect="keyed",
+                            left_ms=2000,
+                            window_ms=0,
+                            request=BODY,
+                            server="s",
+                            place="east",
+                        )
+                    )
                 while hand.queue:
                     await ask()
                 for name in names:
@@ -166,8 +203,10 @@
         off, on = ([getattr(one[side], name) for one in found] for side in (0, 1))
         apart = statistics.median(b - a for a, b in zip(off, on, strict=True))
         lines.append(f"{name:24}{statistics.median(off):11.0f} {statistics.median(on):11.0f} {apart:+11.0f}")
-    lines.append(f"the steward alone: {by_itself.per_s:.0f} pieces of work a second of one core, "
-                 f"{by_itself.log_bytes:.0f} bytes of log each")
+    lines.append(
+        f"the steward alone: {by_itself.per_s:.0f} pieces of work a second of one core, "
+        f"{by_itself.log_bytes:.0f} bytes of log each"
+    )
     return "\n".join(lines)
 
 
--- a/durable/records.py
+++ b/durable/records.py
@@ -78,8 +78,9 @@
         data = self.path.read_bytes() if self.path.exists() else b""
         values, end = read_log(data, str(self.path))
         if end < len(data):
-            log.warning("%s: %d bytes of a change that was not completed are cut off", self.path,
-                        len(data) - end)
+            log.warning(
+                "%s: %d bytes of a change that was not completed are cut off", self.path, len(data) - end
+            )
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644)
         os.ftruncate(self.file, end)
         os.fsync(self.file)
--- a/fennelwinch/adapter.py
+++ b/fennelwinch/adapter.py
@@ -29,6 +29,8 @@
     "diff": i.ListKind.CHANGES,
     "error": i.ListKind.FAILED,
 }
+
+
 class WireError(Exception):
     """The input is not what the wire's page describes."""
 
@@ -116,8 +118,16 @@
     set_size, set_first = int(fields.number(1.0)), int(fields.number(0.0))
     marks = fields.whole(0)
     return i.Request(
-        request_id, class_index, plan_index, customer, left_us, units, max(1, set_size), set_first,
-        bool(marks & 2), bool(marks & 4),
+        request_id,
+        class_index,
+        plan_index,
+        customer,
+        left_us,
+        units,
+        max(1, set_size),
+        set_first,
+        bool(marks & 2),
+        bool(marks & 4),
     )
 
 
--- a/fennelwinch/choice.py
+++ b/fennelwinch/choice.py
@@ -87,9 +87,13 @@
         # The whole fleet is looked through for each attempt: what holds for nearly all of it makes no calls.
         anywhere = job.ran_on is None or job.rule.effect is i.Effect.SAFE
         allowed = self.up if anywhere else [server for server in self.up if self.in_group(job, server)]
-        usable = [server for server in allowed if now >= server.avoid_until
-                  and not (server.on_trial and (server.out or not trial))
-                  and not (tried and server in tried)] or allowed
+        usable = [
+            server
+            for server in allowed
+            if now >= server.avoid_until
+            and not (server.on_trial and (server.out or not trial))
+            and not (tried and server in tried)
+        ] or allowed
         # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
         warm_since = now - max(1, self.set.warm_within_us)
         room = [server for server in usable if server.warm_from <= warm_since or self.has_turn(server)]
--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -136,11 +136,13 @@
 
 def read_report(values: Iterable[tuple[str, str]]) -> i.LoadReport:
     """A load report from names and values; unknown names and absent values are skipped."""
-    return i.LoadReport(**{
-        REPORT_FIELDS[name]: read_reported(REPORT_FIELDS[name], value)
-        for name, value in values
-        if name in REPORT_FIELDS and value not in ("", "-")
-    })
+    return i.LoadReport(
+        **{
+            REPORT_FIELDS[name]: read_reported(REPORT_FIELDS[name], value)
+            for name, value in values
+            if name in REPORT_FIELDS and value not in ("", "-")
+        }
+    )
 
 
 def share(value: float) -> int:
@@ -152,9 +154,15 @@
     notes as find room."""
     packed = [
         WORD.pack(
-            word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer,
-            *(max(-32768, min(32767, round(amount * UNIT)))
-              for amount in (word.demand, word.spent, word.asked, word.level)),
+            word.customer,
+            word.plan_index,
+            word.set_first,
+            word.set_size,
+            word.is_answer,
+            *(
+                max(-32768, min(32767, round(amount * UNIT)))
+                for amount in (word.demand, word.spent, word.asked, word.level)
+            ),
         )
         for word in words
     ]
@@ -167,8 +175,12 @@
     if digest:
         room = (MESSAGE_BYTES - len(messages[0]) - len(head)) // NOTE.size
         messages[0] += head + b"".join(
-            NOTE.pack(note.server, share(note.lag), min(HALF, note.oks) << HALF_BITS | min(HALF, note.fails),
-                      min(BYTE, note.out))
+            NOTE.pack(
+                note.server,
+                share(note.lag),
+                min(HALF, note.oks) << HALF_BITS | min(HALF, note.fails),
+                min(BYTE, note.out),
+            )
             for note in digest.notes[:room]
         )
     return messages
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -382,8 +382,18 @@
 
 
 Event = (
-    ServerList | Request | StreamStarted | Outcome | ClientGone | Draining | Timer | ProbeResult | PeerMessage
-    | Counted | Recall | Allowance
+    ServerList
+    | Request
+    | StreamStarted
+    | Outcome
+    | ClientGone
+    | Draining
+    | Timer
+    | ProbeResult
+    | PeerMessage
+    | Counted
+    | Recall
+    | Allowance
 )
 
 
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -44,10 +44,18 @@
         further = Store(settings.further_rate, settings.further_burst, FLOOR / settings.gateways, 0)
         self.further = further if settings.further_rate else None
         self.not_again = 0  # further attempts that were not begun in this period, as none was left
-        self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
-                   i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
-                   i.ClientGone: self.on_end, i.StreamStarted: self.on_end, i.Draining: self.on_draining,
-                   i.Recall: self.on_recall, i.Allowance: self.on_allowance}
+        self.on = {
+            i.Request: self.on_request,
+            i.Outcome: self.on_outcome,
+            i.Timer: self.on_tick,
+            i.ServerList: self.on_list,
+            i.PeerMessage: self.on_peer,
+            i.ClientGone: self.on_end,
+            i.StreamStarted: self.on_end,
+            i.Draining: self.on_draining,
+            i.Recall: self.on_recall,
+            i.Allowance: self.on_allowance,
+        }
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
--- a/fennelwinch/snapshot.py
+++ b/fennelwinch/snapshot.py
@@ -14,9 +14,12 @@
     now = gateway.now
     customers = tuple(
         i.KeptCustomer(*customer.key, customer.part, customer.level, customer.ceiling, customer.grants)
-        for customer in list(gateway.customers.values())[-MOST_CUSTOMERS:])
+        for customer in list(gateway.customers.values())[-MOST_CUSTOMERS:]
+    )
     suspects = tuple(
         i.KeptSuspect(server.entry.name, max(0, server.avoid_until - now), server.backoff_us, server.lag)
-        for server in gateway.servers.values() if server.on_trial)
+        for server in gateway.servers.values()
+        if server.on_trial
+    )
     n_a_second = None if gateway.n_past is None else gateway.n_exact * gateway.second / gateway.cc_us
     return i.Memory(customers, suspects, n_a_second)
--- a/model/__main__.py
+++ b/model/__main__.py
@@ -28,17 +28,32 @@
     end_on_signals()
 
 
-SEED = click.option("--seed", type=click.IntRange(0, 2**53), default=1, show_default=True,
-                    help="Of all random numbers.")
-JOBS = click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True,
-                    help="Processes at once.")
-SEEDS = click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True,
-                     help="Pairs: as many seeds, from --first on.")
+SEED = click.option(
+    "--seed", type=click.IntRange(0, 2**53), default=1, show_default=True, help="Of all random numbers."
+)
+JOBS = click.option(
+    "--jobs",
+    type=click.IntRange(1, 256),
+    default=os.cpu_count() or 1,
+    show_default=True,
+    help="Processes at once.",
+)
+SEEDS = click.option(
+    "--seeds",
+    type=click.IntRange(1, 1000),
+    default=5,
+    show_default=True,
+    help="Pairs: as many seeds, from --first on.",
+)
 FIRST = click.option("--first", type=click.IntRange(0, 2**53), default=1, show_default=True)
-TWIN = click.option("--twin", is_flag=True,
-                    help="Play it without its troubles too, and tell the way back to full service.")
-OUT = click.option("--out", type=click.Path(dir_okay=False, path_type=Path),
-                   help="Keep each run's total as it ends, a JSON line each; what is there already is kept.")
+TWIN = click.option(
+    "--twin", is_flag=True, help="Play it without its troubles too, and tell the way back to full service."
+)
+OUT = click.option(
+    "--out",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="Keep each run's total as it ends, a JSON line each; what is there already is kept.",
+)
 
 
 def on_scenarios(command: Callable[..., None]) -> Callable[..., None]:
@@ -56,9 +71,7 @@
 @click.option("--set", "settings", multiple=True, metavar="NAME=NUMBER", help="A constant of the module.")
 @TWIN
 @click.option("--out", type=click.File("wb"), default="-", help="Where the JSON lines go.")
-def run(
-    scenario: str, seed: int, total: bool, settings: tuple[str, ...], twin: bool, out: BinaryIO
-) -> None:
+def run(scenario: str, seed: int, total: bool, settings: tuple[str, ...], twin: bool, out: BinaryIO) -> None:
     """Play SCENARIO (a name or a .toml file) once; JSON lines. Exit code 3 where a rule was broken."""
     found = load(scenario)
     for setting in settings:
@@ -103,8 +116,11 @@
         if kept:
             kept.write(msgspec.json.encode(total) + b"\n")
             kept.flush()
-        click.echo(f"{ended} of {len(plays)}: {total['side']}, {total['scenario']}, seed {total['seed']}: "
-                   f"G {total['g']:.4f}", err=True)
+        click.echo(
+            f"{ended} of {len(plays)}: {total['side']}, {total['scenario']}, seed {total['seed']}: "
+            f"G {total['g']:.4f}",
+            err=True,
+        )
 
     try:
         return runner.play_all(plays, done)
@@ -134,9 +150,12 @@
     """The decision module of REV against this tree's, on the same scenarios and seeds, in turns."""
     names = [resolve(scenario) for scenario in scenarios]
     with revision(rev) as folder:
-        plays = [Play(side, where, name, seed, twin=twin)
-                 for name in names for seed in range(first, first + seeds)
-                 for side, where in ((rev, folder), ("this tree", ROOT))]
+        plays = [
+            Play(side, where, name, seed, twin=twin)
+            for name in names
+            for seed in range(first, first + seeds)
+            for side, where in ((rev, folder), ("this tree", ROOT))
+        ]
         results = play_all(plays, jobs, out)
     for number, scenario in enumerate(scenarios):
         click.echo(f"{scenario}: {rev} against this tree")
@@ -153,9 +172,13 @@
             scenario = load(name)
             for side, value in zip(sides, (False, True), strict=True):
                 (Path(folder) / f"{scenario.name}-{side}.toml").write_text(
-                    dump(msgspec.structs.replace(scenario, **{field: value})))
-            plays += [Play(side, ROOT, str(Path(folder) / f"{scenario.name}-{side}.toml"), seed)
-                      for seed in seeds for side in sides]
+                    dump(msgspec.structs.replace(scenario, **{field: value}))
+                )
+            plays += [
+                Play(side, ROOT, str(Path(folder) / f"{scenario.name}-{side}.toml"), seed)
+                for seed in seeds
+                for side in sides
+            ]
         results = play_all(plays, jobs, out)
     each = 2 * len(seeds)
     return [results[at : at + each] for at in range(0, len(results), each)]
@@ -222,8 +245,14 @@
 
     known_states = {name: name for name in get_args(Stored)}
     shares, kept = listed(parts, share, "shares"), listed(states, known_states.__getitem__, "states")
-    found = play_all(load(scenario), shares, kept, range(first, first + seeds), jobs,
-                     lambda seed: click.echo(f"seed {seed} is played", err=True))
+    found = play_all(
+        load(scenario),
+        shares,
+        kept,
+        range(first, first + seeds),
+        jobs,
+        lambda seed: click.echo(f"seed {seed} is played", err=True),
+    )
     click.echo(f"{'share':6}{'state':6}{'figure':20}{'mean':>10}  difference to none, by pairs [95%]")
     for part, state, name, mean, apart in table(found):
         click.echo(f"{part:<6g}{state:6}{name:20}{mean:10.4f}  {apart or ''}")
@@ -251,8 +280,11 @@
     for word in words:
         set_constant(f"{constant}={word}")
     name = resolve(scenario)
-    plays = [Play(word, ROOT, name, seed, (f"{constant}={word}",))
-             for seed in range(first, first + seeds) for word in words]
+    plays = [
+        Play(word, ROOT, name, seed, (f"{constant}={word}",))
+        for seed in range(first, first + seeds)
+        for word in words
+    ]
     results = play_all(plays, jobs, out)
     for word in words[1:]:
         click.echo(f"{scenario}: {constant} = {words[0]} against {word}")
@@ -260,10 +292,10 @@
 
 
 @cli.command()
-@click.argument("runs", type=click.Path(exists=True, dir_okay=False, path_type=Path), nargs=-1,
-                required=True)
-@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), default=Path("report.html"),
-              show_default=True)
+@click.argument("runs", type=click.Path(exists=True, dir_okay=False, path_type=Path), nargs=-1, required=True)
+@click.option(
+    "--out", type=click.Path(dir_okay=False, path_type=Path), default=Path("report.html"), show_default=True
+)
 def report(runs: tuple[Path, ...], out: Path) -> None:
     """One HTML file with plots of the JSON lines that `run` wrote, the first against the others."""
     from model.report import read, write
@@ -273,12 +305,22 @@
 
 
 @cli.command()
-@click.option("--seconds", type=click.FloatRange(0.1, 86_400), default=60.0, show_default=True,
-              help="For how long to look.")
+@click.option(
+    "--seconds",
+    type=click.FloatRange(0.1, 86_400),
+    default=60.0,
+    show_default=True,
+    help="For how long to look.",
+)
 @click.option("--count", type=click.IntRange(1, 1_000_000), help="Look at so many scenarios instead.")
 @SEED
-@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("found"),
-              show_default=True, help="Where what breaks a rule is kept.")
+@click.option(
+    "--out",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=Path("found"),
+    show_default=True,
+    help="Where what breaks a rule is kept.",
+)
 def search(seconds: float, count: int | None, seed: int, out: Path) -> None:
     """Play random scenarios; one that breaks a rule is made small and kept as a .toml file."""
     from model.search import look
@@ -313,10 +355,13 @@
             path = scratch / f"{scenario.name}.toml"
             path.write_text(dump(scenario))
             of[scenario.name] = name, kind
-            plays += [Play(rev, folders[rev], str(path), seed)
-                      for seed in range(1, seeds + 1) for rev in revs]
-        found = [Figure(*of[total["scenario"]], total["seed"], total["side"], total["g"])
-                 for total in play_all(plays, jobs, None)]
+            plays += [
+                Play(rev, folders[rev], str(path), seed) for seed in range(1, seeds + 1) for rev in revs
+            ]
+        found = [
+            Figure(*of[total["scenario"]], total["seed"], total["side"], total["g"])
+            for total in play_all(plays, jobs, None)
+        ]
     click.echo(render(table(seen, found, base), base))
 
 
--- a/model/back.py
+++ b/model/back.py
@@ -61,7 +61,11 @@
 
 
 def play_all(
-    scenario: Scenario, parts: Iterable[float], states: Iterable[Stored], seeds: Iterable[int], jobs: int,
+    scenario: Scenario,
+    parts: Iterable[float],
+    states: Iterable[Stored],
+    seeds: Iterable[int],
+    jobs: int,
     done: Callable[[int], None],
 ) -> dict[Case, dict[str, float]]:
     """Figures of all plays; `done` is called with each seed as it ends."""
@@ -83,8 +87,20 @@
     return found
 
 
-SHOWN = ("g", "whole", "over_quota", "units beyond quota", "messages an ask", "full service, s",
-         "after the last door", "worst second", "worth lost", "opened to calm", "pushed over", "broken rules")
+SHOWN = (
+    "g",
+    "whole",
+    "over_quota",
+    "units beyond quota",
+    "messages an ask",
+    "full service, s",
+    "after the last door",
+    "worst second",
+    "worth lost",
+    "opened to calm",
+    "pushed over",
+    "broken rules",
+)
 
 
 def table(found: dict[Case, dict[str, float]]) -> Iterator[tuple[float, str, str, float, Interval | None]]:
--- a/model/books.py
+++ b/model/books.py
@@ -76,8 +76,9 @@
             self.over[self.second, cause] += 1
             self.over_cost[cause] += cost
 
-    def end_ask(self, key: tuple[int, int, int], offered: float, earned: float, cause: str,
-                late_fail: float) -> None:
+    def end_ask(
+        self, key: tuple[int, int, int], offered: float, earned: float, cause: str, late_fail: float
+    ) -> None:
         """A first try and its retries have ended. `key` is its second, class and plan."""
         self.offered[key] += offered
         self.earned[key] += earned
@@ -90,8 +91,11 @@
     def total(self, values: dict[tuple[int, int, int], float], **only: int) -> float:
         """Of the seconds from the first on, for one class or plan where that is said."""
         at = {"kind": 1, "plan": 2}
-        return sum(value for key, value in values.items()
-                   if key[0] >= 1 and all(key[at[name]] == number for name, number in only.items()))
+        return sum(
+            value
+            for key, value in values.items()
+            if key[0] >= 1 and all(key[at[name]] == number for name, number in only.items())
+        )
 
     def share(self, **only: int) -> float:
         offered = self.total(self.offered, **only)
@@ -105,8 +109,12 @@
         for key, value in self.earned.items():
             earned[key[0]] += value
         spans = [range(at, at + WINDOW_S) for at in range(1, max(2, last - WINDOW_S + 2))]
-        shares = [sum(earned[n] for n in span if n <= last) / asked for span in spans
-                  for asked in [sum(offered[n] for n in span if n <= last)] if asked]
+        shares = [
+            sum(earned[n] for n in span if n <= last) / asked
+            for span in spans
+            for asked in [sum(offered[n] for n in span if n <= last)]
+            if asked
+        ]
         return min(1.0, *shares) if shares else 1.0
 
     def by_cause(self, values: Counter[tuple[int, str]]) -> dict[str, int]:
--- a/model/catalog.py
+++ b/model/catalog.py
@@ -23,8 +23,9 @@
         self.first: tuple[i.Server, ...] = ()
 
     def entry(self, server: ScanServer, state: i.ServerState) -> i.Server:
-        return i.Server(server.name, server.zone, 0, server.cell, state, float(server.traits.cores),
-                        server.started_us)
+        return i.Server(
+            server.name, server.zone, 0, server.cell, state, float(server.traits.cores), server.started_us
+        )
 
     def begin(self) -> None:
         """What holds at the start is known to all."""
--- a/model/clients.py
+++ b/model/clients.py
@@ -51,7 +51,7 @@
     def weigh(self, stream: Stream, skew: float) -> None:
         """Spread its requests over its set anew: uneven, by rank to the power of -skew."""
         ranks = stream.shuffled(range(1, self.size + 1))
-        self.cumulative = list(itertools.accumulate(rank ** -skew for rank in ranks))
+        self.cumulative = list(itertools.accumulate(rank**-skew for rank in ranks))
 
     def door(self, stream: Stream, doors: int) -> int:
         at = bisect(self.cumulative, stream.uniform() * self.cumulative[-1])
@@ -61,8 +61,19 @@
 class Ask:
     """What a client wants, from its first try to the last."""
 
-    __slots__ = ("aim_us", "cause", "customer", "end_us", "first_us", "halls", "ideal", "kind", "tries",
-                 "work_us", "worth")
+    __slots__ = (
+        "aim_us",
+        "cause",
+        "customer",
+        "end_us",
+        "first_us",
+        "halls",
+        "ideal",
+        "kind",
+        "tries",
+        "work_us",
+        "worth",
+    )
 
     def __init__(self, customer: Customer, kind: int, work_us: float, worth: float, now: int) -> None:
         self.customer, self.kind, self.work_us, self.worth = customer, kind, work_us, worth
@@ -96,8 +107,9 @@
         self.backoff_us, self.honour = stream.span(spec.backoff_ms) * MS, stream.span(spec.honour)
         self.elsewhere = stream.span(day.scenario.demand.elsewhere)
         self.aims = [round(rule.aim_ms * day.scenario.stretch * MS) for rule in day.scenario.classes]
-        self.deadlines = [round(rule.deadline_ms * day.scenario.stretch * MS)
-                          for rule in day.scenario.classes]
+        self.deadlines = [
+            round(rule.deadline_ms * day.scenario.stretch * MS) for rule in day.scenario.classes
+        ]
 
     # --- asking ---
 
@@ -175,8 +187,7 @@
         cause = how if how != "refused" else self.refusal(try_, note)
         if how == "failed":
             cause = f"failed: {note.why}" if note and note.why else "failed"
-        self.day.clock.after(
-            self.day.network.to_client_us(), self.receive, try_, how, cause, retry_after_us)
+        self.day.clock.after(self.day.network.to_client_us(), self.receive, try_, how, cause, retry_after_us)
 
     def refusal(self, try_: Try, note: Decided | None) -> str:
         """The one cause of a refusal; those for the quota by whether there was room in truth."""
@@ -276,8 +287,9 @@
         self.cvs = [self.work.span(rule.cv) for rule in scenario.classes]
         shares = sum(rule.share for rule in scenario.classes)
         self.kinds = list(itertools.accumulate(rule.share / shares for rule in scenario.classes))
-        self.mean_work_us = sum(rule.share / shares * mean
-                                for rule, mean in zip(scenario.classes, self.means, strict=True))
+        self.mean_work_us = sum(
+            rule.share / shares * mean for rule, mean in zip(scenario.classes, self.means, strict=True)
+        )
         self.customers: list[Customer] = []
         self.names = itertools.count(1)
         self.factor, self.swing = 1.0, stream.span(self.spec.swing)
@@ -296,16 +308,22 @@
             calm = sum(spec.calm_use) / 2
             mean = max(0.05, (1 - full - heavy) * calm + full * 0.95 + heavy)
             count = max(1, round(self.usual * plan.share / shares / (rate * mean)))
-            kinds = stream.shuffled(["full"] * round(full * count) + ["heavy"] * round(heavy * count)
-                                    + ["spiky"] * round(spiky * count) + ["calm"] * count)[:count]
+            kinds = stream.shuffled(
+                ["full"] * round(full * count)
+                + ["heavy"] * round(heavy * count)
+                + ["spiky"] * round(spiky * count)
+                + ["calm"] * count
+            )[:count]
             for kind in kinds:
                 use = {"full": stream.between(0.9, 1.0), "heavy": stream.span(spec.heavy_x)}.get(
-                    kind, stream.span(spec.calm_use))
+                    kind, stream.span(spec.calm_use)
+                )
                 customer = self.customer(number, use * rate)
                 if kind == "spiky":
                     customer.spiky = stream.span(spec.spike_x) / use
-                    self.day.clock.after(stream.uniform() * stream.span(spec.spike_every_s) * S,
-                                         self.spike, customer)
+                    self.day.clock.after(
+                        stream.uniform() * stream.span(spec.spike_every_s) * S, self.spike, customer
+                    )
                 self.follow(customer)
                 self.shift(customer)
 
@@ -333,7 +351,9 @@
         spec = self.spec
         self.day.clock.after(
             self.stream.span(spec.spike_s if customer.spiking else spec.spike_every_s) * S,
-            self.spike, customer)
+            self.spike,
+            customer,
+        )
         self.follow(customer)
 
     def follow(self, customer: Customer) -> None:
--- a/model/day.py
+++ b/model/day.py
@@ -26,8 +26,20 @@
 START_US = 1_000 * S  # when a run begins: a start time of 0 means long ago
 TAIL_S = 1.0  # after the last possible end of a request
 LOAD_KINDS = ("burst", "hot_customers", "one_shots")  # troubles that are a part of the load
-STREAMS = ("servers", "net", "lists", "clients", "demand", "asks", "work", "troubles", "doors", "kept",
-           "leases", "stored")
+STREAMS = (
+    "servers",
+    "net",
+    "lists",
+    "clients",
+    "demand",
+    "asks",
+    "work",
+    "troubles",
+    "doors",
+    "kept",
+    "leases",
+    "stored",
+)
 NOISE = (0.052, 0.47)  # of one attempt's work against another's for the same request (the site)
 
 
@@ -40,8 +52,9 @@
         self.clock = Clock(START_US)
         self.start_us = START_US
         self.end_us = START_US + round(scenario.length_s * S)
-        self.books = Books(tuple(rule.name for rule in scenario.classes),
-                           tuple(plan.name for plan in scenario.plans))
+        self.books = Books(
+            tuple(rule.name for rule in scenario.classes), tuple(plan.name for plan in scenario.plans)
+        )
         self.traits = Traits(scenario, self.streams["servers"])
         self.attempt_noise = self.streams["work"].span(NOISE)
         self.network = Network(self, self.clock, scenario.net, self.streams["net"])
@@ -64,7 +77,8 @@
 
     def add_server(self, name: str, place: tuple[int, int], cold: bool) -> ScanServer:
         server = self.servers[name] = ScanServer(
-            self.clock, self.traits, self.streams["servers"], name, place, self.demand.mean_work_us, cold)
+            self.clock, self.traits, self.streams["servers"], name, place, self.demand.mean_work_us, cold
+        )
         return server
 
     def lose(self, server: ScanServer, silent: bool) -> None:
@@ -82,28 +96,56 @@
         scenario, clients = self.scenario, self.clients
         classes = tuple(
             i.RequestClass(
-                aim_us=clients.aims[n], deadline_us=clients.deadlines[n], worth=rule.worth,
-                late_worth=rule.late_worth, effect=i.Effect.KEYED if rule.keyed else i.Effect.SAFE,
+                aim_us=clients.aims[n],
+                deadline_us=clients.deadlines[n],
+                worth=rule.worth,
+                late_worth=rule.late_worth,
+                effect=i.Effect.KEYED if rule.keyed else i.Effect.SAFE,
                 group=i.Group.ZONE if rule.keyed else i.Group.ALL,
                 window_us=round(rule.window_ms * scenario.stretch * MS),
-            ) for n, rule in enumerate(scenario.classes))
+            )
+            for n, rule in enumerate(scenario.classes)
+        )
         plans = tuple(
-            i.Plan(rate=plan.rate, burst=plan.burst, worth_factor=plan.price, over_worth=plan.over_worth,
-                   over_cost=plan.over_cost, ceiling_rate=plan.ceiling[0], ceiling_burst=plan.ceiling[1],
-                   ceiling_slack=plan.ceiling[2] if plan.ceiling[0] else 0.0)
-            for plan in self.plans)
+            i.Plan(
+                rate=plan.rate,
+                burst=plan.burst,
+                worth_factor=plan.price,
+                over_worth=plan.over_worth,
+                over_cost=plan.over_cost,
+                ceiling_rate=plan.ceiling[0],
+                ceiling_burst=plan.ceiling[1],
+                ceiling_slack=plan.ceiling[2] if plan.ceiling[0] else 0.0,
+            )
+            for plan in self.plans
+        )
         told = dict(
-            seed=self.streams["doors"].whole(), me=number, gateways=scenario.doors, classes=classes,
-            plans=plans, zone=zone, max_attempts=scenario.max_attempts,
-            max_retry_after_us=round(scenario.clients.max_retry_after_ms * MS), may_probe=True,
-            may_cancel=True, may_tell=True, peer_messages_per_s=scenario.net.peer_per_s,
-            cross_zone_price=scenario.prices.cross_zone, handshake_price=scenario.prices.handshake,
-            waste_price=scenario.prices.waste, late_fail_price=scenario.prices.late_fail,
-            message_price=scenario.prices.peer, probe_price=scenario.prices.probe,
-            answer_grace_us=GRACE_US, ask_within_us=10 * S, cold_from=scenario.cold_from,
-            warm_within_us=round(scenario.warm_within_s * S), fall_multiple=scenario.fall_multiple,
+            seed=self.streams["doors"].whole(),
+            me=number,
+            gateways=scenario.doors,
+            classes=classes,
+            plans=plans,
+            zone=zone,
+            max_attempts=scenario.max_attempts,
+            max_retry_after_us=round(scenario.clients.max_retry_after_ms * MS),
+            may_probe=True,
+            may_cancel=True,
+            may_tell=True,
+            peer_messages_per_s=scenario.net.peer_per_s,
+            cross_zone_price=scenario.prices.cross_zone,
+            handshake_price=scenario.prices.handshake,
+            waste_price=scenario.prices.waste,
+            late_fail_price=scenario.prices.late_fail,
+            message_price=scenario.prices.peer,
+            probe_price=scenario.prices.probe,
+            answer_grace_us=GRACE_US,
+            ask_within_us=10 * S,
+            cold_from=scenario.cold_from,
+            warm_within_us=round(scenario.warm_within_s * S),
+            fall_multiple=scenario.fall_multiple,
             fall_us=round(scenario.fall_s * S),
-            leased=scenario.leased or scenario.leased_quotas, leased_quotas=scenario.leased_quotas,
+            leased=scenario.leased or scenario.leased_quotas,
+            leased_quotas=scenario.leased_quotas,
         )
         known = {field.name for field in fields(i.Settings)}  # an older revision has fewer
         return i.Settings(**{name: value for name, value in told.items() if name in known})
@@ -135,8 +177,9 @@
         for server in self.servers.values():
             if not server.fallen:
                 continue
-            told = sum(work for door, work in server.sent_by.items()
-                       if server.name in self.doors[door].told_start)
+            told = sum(
+                work for door, work in server.sent_by.items() if server.name in self.doors[door].told_start
+            )
             if told >= 2 / 3 * sum(server.sent_by.values()):
                 self.books.broke("a cold server was pushed over", server.name)
 
@@ -165,21 +208,37 @@
         parts = books.share(), books.worst_window(), min(plans.values())
         worth = sum(weight * part for weight, part in zip(WEIGHTS, parts, strict=True))
         return {
-            "kind": "total", "scenario": self.scenario.name, "seed": self.seed,
-            "g": worth - sum(prices.values()), "whole": parts[0], "worst_10s": parts[1],
+            "kind": "total",
+            "scenario": self.scenario.name,
+            "seed": self.seed,
+            "g": worth - sum(prices.values()),
+            "whole": parts[0],
+            "worst_10s": parts[1],
             "plans": plans,
             "classes": {name: books.share(kind=number) for number, name in enumerate(books.classes)},
-            "prices": prices, "asks": books.asks, "tries": books.tries, "attempts": books.attempts,
-            "handshakes": books.handshakes, "ends": dict(sorted(books.ends.items())),
-            "refused": books.by_cause(books.refused), "over": books.by_cause(books.over),
+            "prices": prices,
+            "asks": books.asks,
+            "tries": books.tries,
+            "attempts": books.attempts,
+            "handshakes": books.handshakes,
+            "ends": dict(sorted(books.ends.items())),
+            "refused": books.by_cause(books.refused),
+            "over": books.by_cause(books.over),
             "over_cost": dict(sorted(books.over_cost.items())),
-            "units_sent": books.sent, "units_beyond": books.beyond,
-            "offered": sum(books.offered.values()), "earned": sum(books.earned.values()),
+            "units_sent": books.sent,
+            "units_beyond": books.beyond,
+            "offered": sum(books.offered.values()),
+            "earned": sum(books.earned.values()),
             "lost": dict(sorted(books.lost.items())),
-            "messages": books.by_cause(books.messages), "peer_bytes": books.peer_bytes,
-            "kept": self.kept.result(), "leases": self.leases.asks, "halls": books.halls,
-            "outcomes": dict(sorted(books.outcomes.items())), "broken": dict(sorted(books.breaks.items())),
-            "sums": books.check(), "events": self.clock.calls,
+            "messages": books.by_cause(books.messages),
+            "peer_bytes": books.peer_bytes,
+            "kept": self.kept.result(),
+            "leases": self.leases.asks,
+            "halls": books.halls,
+            "outcomes": dict(sorted(books.outcomes.items())),
+            "broken": dict(sorted(books.breaks.items())),
+            "sums": books.check(),
+            "events": self.clock.calls,
         }
 
     def way(self, calm: Day) -> dict[str, object]:
@@ -193,13 +252,17 @@
 
         found = back(at_us)
         return {
-            "full_s": found.full_s, "worst_second": found.worst_second, "lost": found.lost,
+            "full_s": found.full_s,
+            "worst_second": found.worst_second,
+            "lost": found.lost,
             "full_after_back_s": back(books.last_back_us).full_s if books.last_back_us >= at_us else None,
-            "came_back": books.last_back_us >= at_us, "left_s": (length_us - at_us) / S,
+            "came_back": books.last_back_us >= at_us,
+            "left_s": (length_us - at_us) / S,
             "opened": max(books.opened.values(), default=0),
             "opened_calm": max(usual.opened.values(), default=0),
             "fallen": sum(server.fallen for server in self.servers.values()),
-            "beyond": books.beyond, "beyond_calm": usual.beyond,
+            "beyond": books.beyond,
+            "beyond_calm": usual.beyond,
             "tries_an_ask": books.tries / max(1, books.asks),
         }
 
@@ -209,21 +272,39 @@
         books = self.books
         last = max((key[0] for key in books.offered), default=0)
         for second in range(last + 1):
-            yield line({
-                "kind": "second", "at": second,
-                "classes": {name: [sum(values[key] for key in values if key[0] == second and key[1] == n)
-                                   for values in (books.offered, books.earned)]
-                            for n, name in enumerate(books.classes)},
-                "refused": {cause: count for (at, cause), count in sorted(books.refused.items())
-                            if at == second},
-                "over": {cause: count for (at, cause), count in sorted(books.over.items()) if at == second},
-                "messages": {fate: count for (at, fate), count in sorted(books.messages.items())
-                             if at == second},
-            })
+            yield line(
+                {
+                    "kind": "second",
+                    "at": second,
+                    "classes": {
+                        name: [
+                            sum(values[key] for key in values if key[0] == second and key[1] == n)
+                            for values in (books.offered, books.earned)
+                        ]
+                        for n, name in enumerate(books.classes)
+                    },
+                    "refused": {
+                        cause: count for (at, cause), count in sorted(books.refused.items()) if at == second
+                    },
+                    "over": {
+                        cause: count for (at, cause), count in sorted(books.over.items()) if at == second
+                    },
+                    "messages": {
+                        fate: count for (at, fate), count in sorted(books.messages.items()) if at == second
+                    },
+                }
+            )
         for server in self.servers.values():
-            yield line({"kind": "server", "name": server.name, "zone": server.zone, "served": server.served,
-                        "busy": server.worked_us / (self.traits.cores * (self.end_us - self.start_us)),
-                        "fallen": server.fallen})
+            yield line(
+                {
+                    "kind": "server",
+                    "name": server.name,
+                    "zone": server.zone,
+                    "served": server.served,
+                    "busy": server.worked_us / (self.traits.cores * (self.end_us - self.start_us)),
+                    "fallen": server.fallen,
+                }
+            )
         for second, rule, where in books.broken:
             yield line({"kind": "broken", "at": second, "rule": rule, "where": where})
         for second, door, text in books.logged:
--- a/model/doors.py
+++ b/model/doors.py
@@ -231,10 +231,20 @@
         self.open[try_.id] = Open(try_, now + left)
         ask = try_.ask
         customer = ask.customer
-        self.handle(i.Request(
-            try_.id, ask.kind, customer.plan, customer.name, left, 1.0, customer.size, customer.first,
-            False, self.day.scenario.classes[ask.kind].keyed,
-        ))
+        self.handle(
+            i.Request(
+                try_.id,
+                ask.kind,
+                customer.plan,
+                customer.name,
+                left,
+                1.0,
+                customer.size,
+                customer.first,
+                False,
+                self.day.scenario.classes[ask.kind].keyed,
+            )
+        )
 
     def inherit(self, piece: Piece) -> None:
         """Go on with the work of a dead door."""
@@ -249,15 +259,29 @@
         customer = ask.customer
         self.open[try_.id] = Open(try_, end_us)
         known = server.name if server.name in self.named else self.like(server)
-        self.handle(i.Request(
-            try_.id, ask.kind, customer.plan, customer.name, max(0, end_us - now), 1.0, customer.size,
-            customer.first, False, True, inherited=True, bound=known))
+        self.handle(
+            i.Request(
+                try_.id,
+                ask.kind,
+                customer.plan,
+                customer.name,
+                max(0, end_us - now),
+                1.0,
+                customer.size,
+                customer.first,
+                False,
+                True,
+                inherited=True,
+                bound=known,
+            )
+        )
 
     def like(self, server: ScanServer) -> str:
         """Another scan server of its hall that this door knows."""
         servers = self.day.servers
-        return next((name for name in sorted(self.named)
-                     if name in servers and servers[name].zone == server.zone), "")
+        return next(
+            (name for name in sorted(self.named) if name in servers and servers[name].zone == server.zone), ""
+        )
 
     def client_gone(self, try_: Try) -> bool:
         """Its client gives up: whether an answer was still owed."""
@@ -372,7 +396,8 @@
             return
         attempt.connected = True
         self.day.network.to_server(
-            self, server, self.arrive, life, state, attempt, self.day.traits.handshake_us)
+            self, server, self.arrive, life, state, attempt, self.day.traits.handshake_us
+        )
 
     def arrive(self, life: int, state: Open, attempt: Attempt, extra_us: float) -> None:
         """Its last byte has come to the server."""
@@ -384,8 +409,11 @@
             state.try_.booked = True
             self.day.clients.sent_on(state.try_, self)
         day, server = self.day, attempt.target
-        work = Work(state.try_.ask.work_us * max(0.2, day.streams["work"].lognormal(1.0, day.attempt_noise)),
-                    state.end_us, lambda work, how: self.ran(life, server, state, attempt, work, how))
+        work = Work(
+            state.try_.ask.work_us * max(0.2, day.streams["work"].lognormal(1.0, day.attempt_noise)),
+            state.end_us,
+            lambda work, how: self.ran(life, server, state, attempt, work, how),
+        )
         attempt.work = work
         server.accept(work, self.number, extra_us)
 
@@ -408,8 +436,7 @@
     def time_out(self, life: int, state: Open, attempt: Attempt) -> None:
         if attempt.over or life != self.life:
             return
-        self.outcome(life, state, attempt,
-                     i.Result.TIMEOUT if attempt.whole else i.Result.CONNECT_FAILED)
+        self.outcome(life, state, attempt, i.Result.TIMEOUT if attempt.whole else i.Result.CONNECT_FAILED)
 
     def cancel(self, action: i.Cancel) -> None:
         state = self.open.get(action.id)
@@ -448,8 +475,9 @@
             day.clients.answered(try_, "served", 0, self.gateway.seen.pop(try_.id, None), self)
         if state.answered and not state.out:
             self.open.pop(try_.id, None)
-        self.handle(i.Outcome(
-            try_.id, over, attempt.number, attempt.server, result, day.clock.now - attempt.sent_us))
+        self.handle(
+            i.Outcome(try_.id, over, attempt.number, attempt.server, result, day.clock.now - attempt.sent_us)
+        )
 
     def ignore(self, action: i.Action) -> None:
         """What the list's watch does in any case, or nobody has use for here."""
@@ -465,7 +493,16 @@
 
 
 ACTIONS: dict[type, Callable[..., None]] = {
-    i.Send: Door.send, i.Cancel: Door.cancel, i.Refuse: Door.refuse, i.Fail: Door.fail,
-    i.SetTimer: Door.set_timer, i.Tell: Door.tell, i.Log: Door.log, i.CloseIdle: Door.close_idle,
-    i.Subscribe: Door.ignore, i.FetchList: Door.ignore, i.Probe: Door.ignore, i.Count: Door.ignore,
+    i.Send: Door.send,
+    i.Cancel: Door.cancel,
+    i.Refuse: Door.refuse,
+    i.Fail: Door.fail,
+    i.SetTimer: Door.set_timer,
+    i.Tell: Door.tell,
+    i.Log: Door.log,
+    i.CloseIdle: Door.close_idle,
+    i.Subscribe: Door.ignore,
+    i.FetchList: Door.ignore,
+    i.Probe: Door.ignore,
+    i.Count: Door.ignore,
 }
--- a/model/experiment.py
+++ b/model/experiment.py
@@ -33,8 +33,9 @@
 @contextmanager
 def revision(name: str) -> Iterator[Path]:
     """A folder with the decision module of a revision; one that git does not know is a ModelError."""
-    found = subprocess.run(["git", "archive", "--format=tar", name, "fennelwinch"], cwd=ROOT,
-                           capture_output=True, check=False)
+    found = subprocess.run(
+        ["git", "archive", "--format=tar", name, "fennelwinch"], cwd=ROOT, capture_output=True, check=False
+    )
     if found.returncode:
         raise ModelError(f"there is no revision '{name}' with a decision module")
     with tempfile.TemporaryDirectory(prefix="model-") as folder:
@@ -80,8 +81,14 @@
             if self.stopped.is_set():
                 raise ModelError("stopped")
             # A group of its own: Ctrl-C is for the parent alone, which then ends its plays in order.
-            process = subprocess.Popen(words, cwd=folder, env=environment, stdout=subprocess.PIPE,
-                                       stderr=subprocess.PIPE, start_new_session=True)
+            process = subprocess.Popen(
+                words,
+                cwd=folder,
+                env=environment,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.PIPE,
+                start_new_session=True,
+            )
             self.running.add(process)
         try:
             out, errors = process.communicate()
@@ -118,7 +125,8 @@
         results: dict[int, dict[str, object]] = {}
         pool = ThreadPoolExecutor(self.jobs)
         futures: dict[Future[dict[str, object]], int] = {
-            pool.submit(self.play, play): number for number, play in enumerate(plays)}
+            pool.submit(self.play, play): number for number, play in enumerate(plays)
+        }
         pending = set(futures)
         try:
             while pending:
@@ -165,14 +173,19 @@
     messages = total["messages"]
     sent = sum(messages.values())
     return {
-        "g": total["g"], "whole": total["whole"], "worst_10s": total["worst_10s"],
+        "g": total["g"],
+        "whole": total["whole"],
+        "worst_10s": total["worst_10s"],
         "over_quota": total["prices"]["over_quota"],
-        "tries an ask": total["tries"] / asks, "attempts an ask": total["attempts"] / asks,
+        "tries an ask": total["tries"] / asks,
+        "attempts an ask": total["attempts"] / asks,
         "handshakes an ask": total["handshakes"] / asks,
         "messages an ask": sent / asks,
         "messages lost": 1 - messages.get("arrived", 0) / sent if sent else 0.0,
-        "refused, ceiling half unused": sum(count for cause, count in total["refused"].items()
-                                            if cause.startswith("half unused, ceiling")) / asks,
+        "refused, ceiling half unused": sum(
+            count for cause, count in total["refused"].items() if cause.startswith("half unused, ceiling")
+        )
+        / asks,
         "units beyond quota": float(total["units_beyond"]),
         "broken rules": float(sum(total["broken"].values())),
         "keyed in two halls": float(total.get("halls", 0)),
@@ -188,8 +201,10 @@
     return {
         "full service, s": way["full_s"] if way["full_s"] is not None else way["left_s"],
         **({"after the last door": after} if way["came_back"] else {}),
-        "worst second": way["worst_second"], "worth lost": way["lost"],
-        "opened to calm": way["opened"] / max(1, way["opened_calm"]), "pushed over": float(way["fallen"]),
+        "worst second": way["worst_second"],
+        "worth lost": way["lost"],
+        "opened to calm": way["opened"] / max(1, way["opened_calm"]),
+        "pushed over": float(way["fallen"]),
         "beyond quota": float(way["beyond"]),
     }
 
--- a/model/fidelity.py
+++ b/model/fidelity.py
@@ -42,8 +42,9 @@
 
     def correlation(self) -> float:
         names = sorted(self.bench_changes)
-        return spearman([self.bench_changes[name] for name in names],
-                        [self.model_changes[name] for name in names])
+        return spearman(
+            [self.bench_changes[name] for name in names], [self.model_changes[name] for name in names]
+        )
 
 
 def read(path: Path) -> list[Figure]:
@@ -103,8 +104,10 @@
             for rev, g in plays.items():
                 if rev != base:
                     gaps[bench, kind][rev].append(g - plays[base])
-    return {key: (days[key], {rev: float(np.mean(values)) for rev, values in found.items()})
-            for key, found in gaps.items()}
+    return {
+        key: (days[key], {rev: float(np.mean(values)) for rev, values in found.items()})
+        for key, found in gaps.items()
+    }
 
 
 def table(bench: Iterable[Figure], model: Iterable[Figure], base: str) -> list[Row]:
@@ -123,17 +126,29 @@
     """The rows as a table in Markdown: of each revision the bench's and the model's change, and how both
     rank them."""
     revs = sorted({rev for row in rows for rev in row.bench_changes})
-    lines = [f"| bench | day | days | rank correlation | {' | '.join(f'{rev} to {base}' for rev in revs)} |",
-             "| " + "--- | " * (4 + len(revs))]
+    lines = [
+        f"| bench | day | days | rank correlation | {' | '.join(f'{rev} to {base}' for rev in revs)} |",
+        "| " + "--- | " * (4 + len(revs)),
+    ]
     for row in rows:
-        cells = [f"{-row.bench_changes[rev]:+.3f}, {-row.model_changes[rev]:+.3f}"
-                 if rev in row.bench_changes else "" for rev in revs]
-        lines.append(f"| {row.bench} | {row.kind} | {row.days} | {row.correlation():.2f} "
-                     f"| {' | '.join(cells)} |")
+        cells = [
+            f"{-row.bench_changes[rev]:+.3f}, {-row.model_changes[rev]:+.3f}"
+            if rev in row.bench_changes
+            else ""
+            for rev in revs
+        ]
+        lines.append(
+            f"| {row.bench} | {row.kind} | {row.days} | {row.correlation():.2f} | {' | '.join(cells)} |"
+        )
     pairs = [(row.bench_changes[rev], row.model_changes[rev]) for row in rows for rev in row.bench_changes]
-    means = [[np.mean([getattr(row, side)[rev] for row in rows if rev in row.bench_changes]) for rev in revs]
-             for side in ("bench_changes", "model_changes")]
-    lines += ["", f"All {len(pairs)} changes together: rank correlation "
-              f"{spearman(*zip(*pairs, strict=True)):.2f}; the {len(revs)} revisions by their mean over all "
-              f"kinds of day: {spearman(*means):.2f}."]
+    means = [
+        [np.mean([getattr(row, side)[rev] for row in rows if rev in row.bench_changes]) for rev in revs]
+        for side in ("bench_changes", "model_changes")
+    ]
+    lines += [
+        "",
+        f"All {len(pairs)} changes together: rank correlation "
+        f"{spearman(*zip(*pairs, strict=True)):.2f}; the {len(revs)} revisions by their mean over all "
+        f"kinds of day: {spearman(*means):.2f}.",
+    ]
     return "\n".join(lines)
--- a/model/leased.py
+++ b/model/leased.py
@@ -75,7 +75,8 @@
         now = self.clock.now
         waited = now >= self.asked_us + self.patience_us
         if now >= self.asked_us + HURRY_US and any(
-                name_of(want.key) not in self.keys or (waited and want.need > 0) for want in self.wants()):
+            name_of(want.key) not in self.keys or (waited and want.need > 0) for want in self.wants()
+        ):
             self.renew(life, self.serial)
         self.clock.after(LOOK_US, self.look, life)
 
@@ -107,14 +108,23 @@
         now = self.clock.now
         if life != self.door.life or not self.holder.answered(answer, now // MS):
             return
-        fresh = [(name, part) for name, part in self.holder.parts.items()
-                 if part.fence and part.fence != self.taken.get(name)]
+        fresh = [
+            (name, part)
+            for name, part in self.holder.parts.items()
+            if part.fence and part.fence != self.taken.get(name)
+        ]
         brought = any(part.came for _, part in fresh)
         self.patience_us = min(2 * self.patience_us + LOOK_US, RENEW_US) if self.needs and not brought else 0
         for name, part in fresh:
             self.taken[name] = part.fence
-            self.door.handle(i.Allowance(self.keys[name], part.part / part.terms.whole, part.came,
-                                         now + (part.until_ms - now // MS) * MS))
+            self.door.handle(
+                i.Allowance(
+                    self.keys[name],
+                    part.part / part.terms.whole,
+                    part.came,
+                    now + (part.until_ms - now // MS) * MS,
+                )
+            )
 
 
 def name_of(key: i.Key) -> str:
@@ -124,4 +134,3 @@
 def key_of(name: str) -> i.Key:
     kind, *numbers = name.split("/")
     return kind, *map(int, numbers)
-
--- a/model/network.py
+++ b/model/network.py
@@ -76,7 +76,8 @@
         if not self.reachable(doors[sender].zone, doors[peer].zone):
             books.message("cut off")
         elif self.stream.chance(self.peer_loss) or (
-                self.messages_lost and self.stream.chance(self.messages_lost)):
+            self.messages_lost and self.stream.chance(self.messages_lost)
+        ):
             books.message("lost on the way")
         else:
             delay = self.peer_us * (0.5 + self.stream.exponential(0.5))
--- a/model/report.py
+++ b/model/report.py
@@ -14,8 +14,10 @@
 from model.errors import ModelError
 
 MOST_CAUSES = 8  # in one plot; the rest are drawn together
-STYLE = ("body{font-family:sans-serif;max-width:60em;margin:2em auto;padding:0 1em}"
-         "table{border-collapse:collapse}td{border:1px solid #ccc;padding:.2em .6em}img{max-width:100%}")
+STYLE = (
+    "body{font-family:sans-serif;max-width:60em;margin:2em auto;padding:0 1em}"
+    "table{border-collapse:collapse}td{border:1px solid #ccc;padding:.2em .6em}img{max-width:100%}"
+)
 MOST_LINES = 1_000_000  # of one run's file: a run of the longest scenario writes some thousand
 
 
@@ -79,8 +81,11 @@
     figure, axes = pyplot.subplots(5, 1, figsize=(12, 17), layout="constrained")
     at = [second["at"] for second in run.seconds]
     for name in run.total["classes"]:
-        shares = [earned / offered if offered else None
-                  for second in run.seconds for offered, earned in [second["classes"][name]]]
+        shares = [
+            earned / offered if offered else None
+            for second in run.seconds
+            for offered, earned in [second["classes"][name]]
+        ]
         axes[0].plot(at, shares, marker=".", label=name)
     axes[0].set(title="served, as a share of the worth offered", ylim=(0, 1.3), xlabel="second")
     for axis, key, title, unit in (
@@ -96,8 +101,9 @@
     for zone in zones:
         found = [(n, server["served"]) for n, server in enumerate(ordered) if server["zone"] == zone]
         axes[4].bar([n for n, _ in found], [served for _, served in found], width=1.0, label=f"hall {zone}")
-    axes[4].set(title="load by server, the most loaded of each hall first", ylabel="requests served",
-                xlabel="server")
+    axes[4].set(
+        title="load by server, the most loaded of each hall first", ylabel="requests served", xlabel="server"
+    )
     for axis in axes:
         if axis.get_legend_handles_labels()[0]:
             axis.legend(fontsize="small", loc="upper left", bbox_to_anchor=(1.0, 1.0))  # beside the curves
@@ -112,23 +118,33 @@
     return "".join(
         f"<tr><td>{html.escape(str(cause))}</td><td>{count:.4g}</td>"
         f"<td>{count / total if total else 0:.1%}</td></tr>"
-        for cause, count in sorted(values.items(), key=lambda item: -item[1]))
+        for cause, count in sorted(values.items(), key=lambda item: -item[1])
+    )
 
 
 def section(run: Run) -> str:
     total = run.total
-    plain = {"G": total["g"], "whole run": total["whole"], "worst 10 s": total["worst_10s"],
-             **{f"plan {name}": share for name, share in total["plans"].items()},
-             **{f"class {name}": share for name, share in total["classes"].items()},
-             **{f"price: {name}": price for name, price in total["prices"].items()}}
-    parts = [f"<h2>{html.escape(run.name)}: {html.escape(str(total['scenario']))}, seed {total['seed']}</h2>",
-             "<table>", *(f"<tr><td>{html.escape(name)}</td><td>{value:.4f}</td></tr>"
-                          for name, value in plain.items()), "</table>"]
+    plain = {
+        "G": total["g"],
+        "whole run": total["whole"],
+        "worst 10 s": total["worst_10s"],
+        **{f"plan {name}": share for name, share in total["plans"].items()},
+        **{f"class {name}": share for name, share in total["classes"].items()},
+        **{f"price: {name}": price for name, price in total["prices"].items()},
+    }
+    parts = [
+        f"<h2>{html.escape(run.name)}: {html.escape(str(total['scenario']))}, seed {total['seed']}</h2>",
+        "<table>",
+        *(f"<tr><td>{html.escape(name)}</td><td>{value:.4f}</td></tr>" for name, value in plain.items()),
+        "</table>",
+    ]
     broken = total["broken"]
     parts.append(f"<p>{'Rules kept.' if not broken else 'Broken: ' + html.escape(str(broken))}</p>")
-    for title, key, of in (("Losses of worth by cause, net", "lost", total["offered"]),
-                           ("Refusals by cause", "refused", total["ends"].get("refused", 0)),
-                           ("Units beyond quota by cause", "over", total["units_beyond"])):
+    for title, key, of in (
+        ("Losses of worth by cause, net", "lost", total["offered"]),
+        ("Refusals by cause", "refused", total["ends"].get("refused", 0)),
+        ("Units beyond quota by cause", "over", total["units_beyond"]),
+    ):
         parts.append(f"<h3>{title}</h3><table>{rows_of(total[key], of)}</table>")
     parts.append(f'<img alt="plots of {html.escape(run.name)}" src="data:image/png;base64,{plots(run)}">')
     return "\n".join(parts)
@@ -136,9 +152,16 @@
 
 def write(runs: list[Run], out: Path) -> None:
     """The report of these runs, in the order given, as one file that needs no other."""
-    text = "\n".join(["<!doctype html>", '<html lang="en"><meta charset="utf-8">',
-                      f"<title>Runs of the fleet's model</title><style>{STYLE}</style>",
-                      "<h1>Runs of the fleet's model</h1>", *map(section, runs), "</html>\n"])
+    text = "\n".join(
+        [
+            "<!doctype html>",
+            '<html lang="en"><meta charset="utf-8">',
+            f"<title>Runs of the fleet's model</title><style>{STYLE}</style>",
+            "<h1>Runs of the fleet's model</h1>",
+            *map(section, runs),
+            "</html>\n",
+        ]
+    )
     try:
         out.write_text(text)
     except OSError as error:
--- a/model/scenario.py
+++ b/model/scenario.py
@@ -141,8 +141,22 @@
 
 
 Kind = Literal[
-    "burst", "kill_doors", "restart_doors", "release", "zone_loss", "zone_cut", "silent", "bad", "slow",
-    "messages_lost", "lists_late", "hot_customers", "one_shots", "drop_answers", "errors_fast", "shrink",
+    "burst",
+    "kill_doors",
+    "restart_doors",
+    "release",
+    "zone_loss",
+    "zone_cut",
+    "silent",
+    "bad",
+    "slow",
+    "messages_lost",
+    "lists_late",
+    "hot_customers",
+    "one_shots",
+    "drop_answers",
+    "errors_fast",
+    "shrink",
 ]
 
 
@@ -168,16 +182,34 @@
 
 
 CLASSES = (
-    Class(name="view-sheet", share=0.56, work_ms=(44, 77), cv=(0.64, 1.2), aim_ms=400, deadline_ms=2000,
-          worth=3),
-    Class(name="submit-record", share=0.44, work_ms=(65, 120), cv=(0.56, 1.4), aim_ms=750, deadline_ms=2000,
-          worth=9, late_worth=0.2, keyed=True, window_ms=4000),
+    Class(
+        name="view-sheet", share=0.56, work_ms=(44, 77), cv=(0.64, 1.2), aim_ms=400, deadline_ms=2000, worth=3
+    ),
+    Class(
+        name="submit-record",
+        share=0.44,
+        work_ms=(65, 120),
+        cv=(0.56, 1.4),
+        aim_ms=750,
+        deadline_ms=2000,
+        worth=9,
+        late_worth=0.2,
+        keyed=True,
+        window_ms=4000,
+    ),
 )
 PLANS = (
     Plan(name="basic", share=0.2, rate=(0.65, 1.1), burst_s=(3.1, 6), price=0.88, over_worth=0.3),
     Plan(name="standard", share=0.43, rate=(3.2, 5.6), burst_s=(1.2, 2.5), price=1.1, over_cost=0.6),
-    Plan(name="institution", share=0.37, rate=(13, 22), burst_s=(1.3, 2.9), price=1.6, over_cost=1.0,
-         ceiling=(1.7, 2.5)),
+    Plan(
+        name="institution",
+        share=0.37,
+        rate=(13, 22),
+        burst_s=(1.3, 2.9),
+        price=1.6,
+        over_cost=1.0,
+        ceiling=(1.7, 2.5),
+    ),
 )
 
 
@@ -225,8 +257,16 @@
     for what, parts in (("classes", scenario.classes), ("plans", scenario.plans)):
         if len({part.name for part in parts}) < len(parts):
             raise ModelError(f"{name}: {what} have the same name twice")
-    for part in (scenario, scenario.servers, scenario.net, scenario.clients, scenario.demand,
-                 *scenario.classes, *scenario.plans, *scenario.troubles):
+    for part in (
+        scenario,
+        scenario.servers,
+        scenario.net,
+        scenario.clients,
+        scenario.demand,
+        *scenario.classes,
+        *scenario.plans,
+        *scenario.troubles,
+    ):
         for key in part.__struct_fields__:
             value = getattr(part, key)
             if not isinstance(value, tuple) or not all(type(one) in (int, float) for one in value):
@@ -243,8 +283,9 @@
 def known() -> list[str]:
     """The names of the scenarios that come with the model."""
     folder = resources.files("model") / "scenarios"
-    return sorted(entry.name.removesuffix(".toml") for entry in folder.iterdir()
-                  if entry.name.endswith(".toml"))
+    return sorted(
+        entry.name.removesuffix(".toml") for entry in folder.iterdir() if entry.name.endswith(".toml")
+    )
 
 
 def load(name: str) -> Scenario:
@@ -263,8 +304,9 @@
 def dump(scenario: Scenario) -> str:
     """The scenario as TOML, without what is left at its default; `parse` gives the same one back."""
     values = msgspec.to_builtins(scenario)
-    return tomli_w.dumps(trimmed(values, msgspec.to_builtins(Scenario(name=scenario.name))) | {
-        "name": scenario.name})
+    return tomli_w.dumps(
+        trimmed(values, msgspec.to_builtins(Scenario(name=scenario.name))) | {"name": scenario.name}
+    )
 
 
 def trimmed(values: dict, usual: dict) -> dict:
@@ -279,7 +321,9 @@
             plain = msgspec.to_builtins(Trouble(kind="burst"))
             value = [{"kind": one["kind"]} | trimmed(one, plain) for one in value]
         elif isinstance(value, list | tuple):
-            value = [{k: v for k, v in one.items() if v is not None} if isinstance(one, dict) else one
-                     for one in value]
+            value = [
+                {k: v for k, v in one.items() if v is not None} if isinstance(one, dict) else one
+                for one in value
+            ]
         found[key] = value
     return found
--- a/model/search.py
+++ b/model/search.py
@@ -47,17 +47,33 @@
     doors = 1 + stream.below(MOST_DOORS)
     kinds = sorted(KINDS)
     troubles = tuple(
-        Trouble(kind=stream.pick(kinds), at_s=round(stream.uniform() * length * 0.7, 1),
-                for_s=round(stream.between(0.2, 6), 1), part=round(stream.uniform(), 2),
-                size=round(stream.between(0.05, 3), 2), zone=stream.below(zones))
-        for _ in range(stream.below(MOST_TROUBLES + 1)))
+        Trouble(
+            kind=stream.pick(kinds),
+            at_s=round(stream.uniform() * length * 0.7, 1),
+            for_s=round(stream.between(0.2, 6), 1),
+            part=round(stream.uniform(), 2),
+            size=round(stream.between(0.05, 3), 2),
+            zone=stream.below(zones),
+        )
+        for _ in range(stream.below(MOST_TROUBLES + 1))
+    )
     low = round(stream.between(0.2, 1.1), 2)
     return Scenario(
-        name=f"found-{number}", doors=doors, length_s=length, stretch=round(stream.between(0.8, 2), 2),
-        servers=Servers(count=1 + stream.below(MOST_SERVERS), connections=8 + stream.below(200),
-                        drops_cancelled=stream.chance(0.5), drops_expired=stream.chance(0.5)),
+        name=f"found-{number}",
+        doors=doors,
+        length_s=length,
+        stretch=round(stream.between(0.8, 2), 2),
+        servers=Servers(
+            count=1 + stream.below(MOST_SERVERS),
+            connections=8 + stream.below(200),
+            drops_cancelled=stream.chance(0.5),
+            drops_expired=stream.chance(0.5),
+        ),
         net=Net(zones=zones, peer_loss=(0, round(stream.uniform() * 0.5, 2))),
-        clients=Clients(retries=stream.below(4)), demand=Demand(load=(low, low)), troubles=troubles)
+        clients=Clients(retries=stream.below(4)),
+        demand=Demand(load=(low, low)),
+        troubles=troubles,
+    )
 
 
 def smaller(scenario: Scenario) -> Iterator[Scenario]:
@@ -78,15 +94,25 @@
     if scenario.net.zones > 1 and all(trouble.zone < scenario.net.zones - 1 for trouble in scenario.troubles):
         net = msgspec.structs.replace(scenario.net, zones=scenario.net.zones - 1)
         yield msgspec.structs.replace(scenario, net=net)
-    plain = {"servers": Servers(count=scenario.servers.count), "net": Net(zones=scenario.net.zones),
-             "clients": Clients(), "demand": Demand(), "stretch": 1.0}
+    plain = {
+        "servers": Servers(count=scenario.servers.count),
+        "net": Net(zones=scenario.net.zones),
+        "clients": Clients(),
+        "demand": Demand(),
+        "stretch": 1.0,
+    }
     for key, value in plain.items():
         if getattr(scenario, key) != value:
             yield msgspec.structs.replace(scenario, **{key: value})
 
 
-def shrink(scenario: Scenario, seed: int, rule: str, broken: Callable[[Scenario, int], str] = breaks,
-           most: int = SHRINKS) -> Scenario:
+def shrink(
+    scenario: Scenario,
+    seed: int,
+    rule: str,
+    broken: Callable[[Scenario, int], str] = breaks,
+    most: int = SHRINKS,
+) -> Scenario:
     """The smallest scenario found that still breaks that rule under that seed."""
     plays = 0
     again = True
@@ -103,7 +129,11 @@
 
 
 def look(
-    seed: int, folder: Path, seconds: float, count: int | None, say: Callable[[str], None],
+    seed: int,
+    folder: Path,
+    seconds: float,
+    count: int | None,
+    say: Callable[[str], None],
     broken: Callable[[Scenario, int], str] = breaks,
 ) -> Found:
     """Play random scenarios for so long, or so many of them; keep what breaks a rule, made small."""
--- a/model/servers.py
+++ b/model/servers.py
@@ -56,14 +56,48 @@
 class ScanServer:
     """One process on one machine. It knows nothing of front doors but the connections they hold."""
 
-    __slots__ = ("alive", "bad", "budget", "budget_at", "cell", "clock", "cold", "connections", "draining",
-                 "fallen", "fast_errors", "finish", "mean_work_us", "name", "rate", "sent_by", "serial",
-                 "served", "slow", "speed", "started_us", "stream", "token", "traits", "useful_us", "v",
-                 "v_at", "waiting", "worked_us", "zone")
+    __slots__ = (
+        "alive",
+        "bad",
+        "budget",
+        "budget_at",
+        "cell",
+        "clock",
+        "cold",
+        "connections",
+        "draining",
+        "fallen",
+        "fast_errors",
+        "finish",
+        "mean_work_us",
+        "name",
+        "rate",
+        "sent_by",
+        "serial",
+        "served",
+        "slow",
+        "speed",
+        "started_us",
+        "stream",
+        "token",
+        "traits",
+        "useful_us",
+        "v",
+        "v_at",
+        "waiting",
+        "worked_us",
+        "zone",
+    )
 
     def __init__(
-        self, clock: Clock, traits: Traits, stream: Stream, name: str, place: tuple[int, int],
-        mean_work_us: float, cold: bool,
+        self,
+        clock: Clock,
+        traits: Traits,
+        stream: Stream,
+        name: str,
+        place: tuple[int, int],
+        mean_work_us: float,
+        cold: bool,
     ) -> None:
         """`place` is its hall and cell; a cold one starts now, a warm one started long ago."""
         self.clock, self.traits, self.stream, self.name = clock, traits, stream, name
@@ -137,8 +171,9 @@
         self.fill()
         self.plan()
         for work in ended:
-            self.end(work, "error" if self.stream.uniform() < max(self.bad, self.traits.error_rate)
-                     else "served")
+            self.end(
+                work, "error" if self.stream.uniform() < max(self.bad, self.traits.error_rate) else "served"
+            )
 
     def fill(self) -> None:
         """Begin what waits while there are slots."""
--- a/model/service.py
+++ b/model/service.py
@@ -49,7 +49,11 @@
             full = (at * STEP_US - fault_us) / SECOND_US
             break
     second = SECOND_US // STEP_US
-    shares = [mine[at : at + second].sum() / usual[at : at + second].sum()
-              for at in range(first, len(mine) - second + 1) if usual[at : at + second].sum() > 0]
-    return Way(full, float(min(shares, default=1.0)),
-               float((usual - mine)[first:].sum() / max(1e-9, offered.sum())))
+    shares = [
+        mine[at : at + second].sum() / usual[at : at + second].sum()
+        for at in range(first, len(mine) - second + 1)
+        if usual[at : at + second].sum() > 0
+    ]
+    return Way(
+        full, float(min(shares, default=1.0)), float((usual - mine)[first:].sum() / max(1e-9, offered.sum()))
+    )
--- a/molereach/allowance.py
+++ b/molereach/allowance.py
@@ -43,8 +43,15 @@
         self.patience_s = self.asked_at = 0.0  # for how long after an ask none is made for units alone
         self.most_s = config.steward.lease_ms * RENEW_SHARE / 1000
         steward = config.steward
-        self.renewer = Renewer(self.holder, steward.addresses, steward.secret, steward.lease_ms, chance,
-                               self.prepare, self.renewed)
+        self.renewer = Renewer(
+            self.holder,
+            steward.addresses,
+            steward.secret,
+            steward.lease_ms,
+            chance,
+            self.prepare,
+            self.renewed,
+        )
 
     async def run(self) -> None:
         """Renew, and sooner where a customer comes that nothing is held for, or requests wait for units.
@@ -92,8 +99,9 @@
     def renewed(self) -> None:
         """Hand on what is new."""
         now, here = now_ms(), now_us()
-        came = any(part.came and part.fence != self.taken.get(name)
-                   for name, part in self.holder.parts.items())
+        came = any(
+            part.came and part.fence != self.taken.get(name) for name, part in self.holder.parts.items()
+        )
         self.patience_s = min(2 * self.patience_s + LOOK_S, self.most_s) if self.needs and not came else 0.0
         for name, part in self.holder.parts.items():
             if part.fence and part.fence != self.taken.get(name):
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -40,8 +40,23 @@
 class Attempt:
     """One command for one backend; `done` is called once, with how it ended."""
 
-    __slots__ = ("connection", "done", "end_us", "may_write", "number", "over", "payload", "pool",
-                 "request_id", "sent_us", "server", "timer", "write_by_us", "written", "written_us")
+    __slots__ = (
+        "connection",
+        "done",
+        "end_us",
+        "may_write",
+        "number",
+        "over",
+        "payload",
+        "pool",
+        "request_id",
+        "sent_us",
+        "server",
+        "timer",
+        "write_by_us",
+        "written",
+        "written_us",
+    )
 
     def __init__(
         self, request_id: str, number: int, server: str, payload: Callable[[int], bytes], done: Done
@@ -149,8 +164,11 @@
 
     def judge(self) -> None:
         fresh = self.resets[0] / max(LEAST_USES, self.uses[0])
-        bad = (age for age in range(1, AGES) if self.uses[age] >= LEAST_USES
-               and self.resets[age] / self.uses[age] > fresh + STALE_MARGIN)
+        bad = (
+            age
+            for age in range(1, AGES)
+            if self.uses[age] >= LEAST_USES and self.resets[age] / self.uses[age] > fresh + STALE_MARGIN
+        )
         self.most = min(bad, default=AGES)
 
     def fade(self) -> None:
@@ -163,8 +181,17 @@
 class Connection(asyncio.Protocol):
     """A connection to a backend with at most one command on it."""
 
-    __slots__ = ("age", "attempt", "heard_us", "held_bytes", "idle_since", "paused", "pool", "reader",
-                 "transport")
+    __slots__ = (
+        "age",
+        "attempt",
+        "heard_us",
+        "held_bytes",
+        "idle_since",
+        "paused",
+        "pool",
+        "reader",
+        "transport",
+    )
 
     def __init__(self, pool: "Pool") -> None:
         self.pool, self.heard_us = pool, 0
@@ -399,7 +426,11 @@
     """The pools by the backends' names, and the bound on all their connections."""
 
     def __init__(
-        self, idle_us: int, connect_timeout_us: int, most: int, costs: Costs | None = None,
+        self,
+        idle_us: int,
+        connect_timeout_us: int,
+        most: int,
+        costs: Costs | None = None,
         most_bytes: int = MOST_BYTES,
     ) -> None:
         self.held_bytes, self.most_bytes = 0, most_bytes  # of answers that are not whole yet
@@ -413,9 +444,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.reuse, self.fades_us = Reuse(), 0
 
-    def update(
-        self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool
-    ) -> None:
+    def update(self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool) -> None:
         """Take over news of the list: the whole of it, or those whose state or address changed."""
         for name in [name for name in self.pools if whole and name not in states]:
             self.retire(name)
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -129,8 +129,16 @@
         size, first = self.customers_set(values, own)
         units = self.units(values, plan)
         request = partial(
-            i.Request, id=request_id, class_index=number, plan_index=plan, customer=customer, units=units,
-            set_size=size, set_first=first, is_repeat=values.get("r") == "1", is_write=is_write,
+            i.Request,
+            id=request_id,
+            class_index=number,
+            plan_index=plan,
+            customer=customer,
+            units=units,
+            set_size=size,
+            set_first=first,
+            is_repeat=values.get("r") == "1",
+            is_write=is_write,
         )
         at = words[3].find(b"d=") if words[3].startswith(b"d=") else words[3].find(b",d=") + 1
         head, tail = words[3][: at + 2], words[3][at + 2 + len(values["d"]) :]
@@ -215,25 +223,52 @@
 
 
 WAITS_US = {
-    State.GREETED: IDLE_US, State.IDLE: IDLE_US, State.PARTIAL: REST_OF_COMMAND_US, State.BUSY: NEVER,
-    State.CLOGGED: READS_US, State.CLOSING: LINGER_US,
+    State.GREETED: IDLE_US,
+    State.IDLE: IDLE_US,
+    State.PARTIAL: REST_OF_COMMAND_US,
+    State.BUSY: NEVER,
+    State.CLOGGED: READS_US,
+    State.CLOSING: LINGER_US,
 }
 
 
 # Who gives way when all places are taken, and after how long in that state: a good client keeps its place
 # for its least time, but one that has only greeted does so before a new one is turned away.
 GIVE_WAY = (
-    (State.CLOSING, 0), (State.NEW, 0), (State.PARTIAL, 0), (State.GREETED, LEAST_IDLE_US),
-    (State.IDLE, LEAST_IDLE_US), (State.GREETED, 0),
+    (State.CLOSING, 0),
+    (State.NEW, 0),
+    (State.PARTIAL, 0),
+    (State.GREETED, LEAST_IDLE_US),
+    (State.IDLE, LEAST_IDLE_US),
+    (State.GREETED, 0),
 )
 
 
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection; answers leave in the order of its commands."""
 
-    __slots__ = ("asked", "clients", "clogged", "closing", "errors", "known", "late_us", "more", "processing",
-                 "read_us", "reader", "reading", "replies", "resumed_us", "scheduled", "since_us", "state",
-                 "stopped_us", "transport", "until_us")
+    __slots__ = (
+        "asked",
+        "clients",
+        "clogged",
+        "closing",
+        "errors",
+        "known",
+        "late_us",
+        "more",
+        "processing",
+        "read_us",
+        "reader",
+        "reading",
+        "replies",
+        "resumed_us",
+        "scheduled",
+        "since_us",
+        "state",
+        "stopped_us",
+        "transport",
+        "until_us",
+    )
 
     def __init__(self, clients: "Clients") -> None:
         self.clients = clients
@@ -459,8 +494,13 @@
     """All client connections, bounded in number."""
 
     def __init__(
-        self, most: int, most_bytes: int, take: Callable[[list[bytes], Reply], None],
-        gone: Callable[[Reply], None], spawn: Callable[[Coroutine[None, None, None]], object], costs: Costs,
+        self,
+        most: int,
+        most_bytes: int,
+        take: Callable[[list[bytes], Reply], None],
+        gone: Callable[[Reply], None],
+        spawn: Callable[[Coroutine[None, None, None]], object],
+        costs: Costs,
         due_us: Callable[[], int],
     ) -> None:
         self.due_us, self.sweep_us = due_us, NEVER  # when another's timer is due; when the own is
@@ -475,9 +515,7 @@
         self.sockets = 0  # accepted and not closed yet
         self.connections: set[ClientConnection] = set()
         # Those that may give up their place, the longest in that state first.
-        self.leaving: dict[State, dict[ClientConnection, None]] = {
-            state: {} for state, _ in GIVE_WAY
-        }
+        self.leaving: dict[State, dict[ClientConnection, None]] = {state: {} for state, _ in GIVE_WAY}
         self.listener: socket.socket | None = None
         self.draining = False
         self.empty = asyncio.Event()
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -132,8 +132,9 @@
         raise ConfigError("takeover names no classes")
     if strange := [name for name in names if name not in classes]:
         raise ConfigError(f"takeover names a class '{strange[0]}' that is none")
-    return Takeover(read_addresses(values["addresses"]), read_secret(values),
-                    frozenset(classes[name] for name in names))
+    return Takeover(
+        read_addresses(values["addresses"]), read_secret(values), frozenset(classes[name] for name in names)
+    )
 
 
 def read_steward(values: object) -> Steward | None:
@@ -153,16 +154,29 @@
             raise ConfigError(f"the steward's further_attempts have no {name} from 0 to 1000000")
     if rate and burst < 1:
         raise ConfigError("the steward's further_attempts have a burst of less than 1")
-    return Steward(read_addresses(values["addresses"]), secret, lease_ms, float(rate), float(burst),
-                   flag(values, "quotas"), flag(values, "open"))
+    return Steward(
+        read_addresses(values["addresses"]),
+        secret,
+        lease_ms,
+        float(rate),
+        float(burst),
+        flag(values, "quotas"),
+        flag(values, "open"),
+    )
 
 
 def leased(settings: i.Settings, steward: Steward | None) -> i.Settings:
     """The settings with what a steward divides."""
     if steward is None:
         return settings
-    return replace(settings, leased=True, leased_quotas=steward.quotas, leased_open=steward.open,
-                   further_rate=steward.further_rate, further_burst=steward.further_burst)
+    return replace(
+        settings,
+        leased=True,
+        leased_quotas=steward.quotas,
+        leased_open=steward.open,
+        further_rate=steward.further_rate,
+        further_burst=steward.further_burst,
+    )
 
 
 def path_of(values: Mapping[str, Any], name: str) -> str:
--- a/molereach/costs.py
+++ b/molereach/costs.py
@@ -30,9 +30,25 @@
 
 
 COUNTERS = (
-    "accepted", "attempts", "behind", "datagrams_dropped", "datagrams_in", "datagrams_out", "failed", "gone",
-    "handshakes", "handshakes_failed", "list_lines", "pings", "refused", "requests", "reused", "served",
-    "turned_away", "watches", "wrong_commands",
+    "accepted",
+    "attempts",
+    "behind",
+    "datagrams_dropped",
+    "datagrams_in",
+    "datagrams_out",
+    "failed",
+    "gone",
+    "handshakes",
+    "handshakes_failed",
+    "list_lines",
+    "pings",
+    "refused",
+    "requests",
+    "reused",
+    "served",
+    "turned_away",
+    "watches",
+    "wrong_commands",
 )
 
 
@@ -138,12 +154,16 @@
 
 
 def report(
-    costs: Costs, held_bytes: Mapping[str, int], descriptors: Mapping[str, int],
+    costs: Costs,
+    held_bytes: Mapping[str, int],
+    descriptors: Mapping[str, int],
     ages_s: Mapping[str, float] | None = None,
 ) -> dict[str, Any]:
     """All figures by name. Descriptors that have no owner are the process's own: loop, signals, log."""
     found: dict[str, Any] = {
-        "processor_s": time.process_time_ns() / 1e9, **costs.counts(), "bytes": dict(held_bytes),
+        "processor_s": time.process_time_ns() / 1e9,
+        **costs.counts(),
+        "bytes": dict(held_bytes),
         **resident(),
         "late": {stage.name.lower(): count for stage, count in costs.late.items() if count},
         "late_s": {stage.name.lower(): spent / 1e6 for stage, spent in costs.late_us.items() if spent},
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -89,9 +89,13 @@
         """A server in discovery's form, as `server` reads it."""
         started_ms = (server.started_us - self.offset_us) / 1000 if server.started_us else 0
         return {
-            "instanceId": server.name, "hostPort": f"{address[0]}:{address[1]}",
-            "zone": self.zone_names.get(server.zone, ""), "machineType": self.kind_names.get(server.kind, ""),
-            "cell": server.cell, "lifecycle": NAMES[server.state], "weight": server.size,
+            "instanceId": server.name,
+            "hostPort": f"{address[0]}:{address[1]}",
+            "zone": self.zone_names.get(server.zone, ""),
+            "machineType": self.kind_names.get(server.kind, ""),
+            "cell": server.cell,
+            "lifecycle": NAMES[server.state],
+            "weight": server.size,
             "startedAtMs": started_ms,
         }
 
@@ -185,8 +189,13 @@
     """Discovery, at one address of several: a watch that is kept open, its news handed on as they come."""
 
     def __init__(
-        self, addresses: tuple[Address, ...], catalog: Catalog, version: int | None,
-        heard: Callable[["Source", News], None], costs: Costs, chance: random.Random,
+        self,
+        addresses: tuple[Address, ...],
+        catalog: Catalog,
+        version: int | None,
+        heard: Callable[["Source", News], None],
+        costs: Costs,
+        chance: random.Random,
     ) -> None:
         self.costs = costs
         self.kind = costs.stages.kind(DISCOVERY, WatchConnection, "data_received")
@@ -251,8 +260,12 @@
                 if self.version is not None:
                     await self.read(f"/catalog/members?watch=1&after={self.version}")
             except (OSError, TimeoutError) as error:
-                log.warning("no watch on discovery at %s:%d: %s; the list is %s", *self.address,
-                            str(error) or "it does not answer", self.age())
+                log.warning(
+                    "no watch on discovery at %s:%d: %s; the list is %s",
+                    *self.address,
+                    str(error) or "it does not answer",
+                    self.age(),
+                )
             except Exception:
                 log.exception("the watch on discovery failed")  # without it the list would grow old unseen
             if self.retiring:
@@ -305,9 +318,14 @@
     """Hands on the news of one source; another address takes over once it has told its whole list."""
 
     def __init__(
-        self, addresses: tuple[Address, ...], catalog: Catalog, version: int,
-        heard: Callable[[News], None], spawn: Callable[[Coroutine[None, None, None]], object],
-        costs: Costs | None = None, chance: random.Random | None = None,
+        self,
+        addresses: tuple[Address, ...],
+        catalog: Catalog,
+        version: int,
+        heard: Callable[[News], None],
+        spawn: Callable[[Coroutine[None, None, None]], object],
+        costs: Costs | None = None,
+        chance: random.Random | None = None,
     ) -> None:
         self.catalog, self.heard, self.spawn = catalog, heard, spawn
         self.costs = costs or Costs()
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -96,28 +96,46 @@
         sockets = max(16, min(config.sockets, granted) - SPARE_SOCKETS)
         most_clients = round(sockets * CLIENT_SHARE)
         self.backends = Backends(
-            config.conn_idle_us, config.connect_timeout_us, sockets - most_clients, self.costs,
+            config.conn_idle_us,
+            config.connect_timeout_us,
+            sockets - most_clients,
+            self.costs,
             round(memory * ANSWERS_SHARE),
         )
         self.parser = CommandParser(config)
         self.clients = Clients(
-            most_clients, round(memory * WAITING_SHARE), self.take, self.client_gone, self.backends.spawn,
-            self.costs, lambda: self.timer_us,
+            most_clients,
+            round(memory * WAITING_SHARE),
+            self.take,
+            self.client_gone,
+            self.backends.spawn,
+            self.costs,
+            lambda: self.timer_us,
         )
         self.peers = Peers(config.peers, config.settings.me, self.post, self.costs)
         self.catalog = Catalog(config)
         known = self.read_known()
         version = known.event.version if known else 0
         self.discovery = Discovery(
-            config.discovery, self.catalog, version, self.list_heard, self.backends.spawn, self.costs,
+            config.discovery,
+            self.catalog,
+            version,
+            self.list_heard,
+            self.backends.spawn,
+            self.costs,
             random.Random(config.settings.seed),
         )
         self.carry_out: dict[type, Callable[..., None]] = {
-            i.Send: stages.call(costs.BACKENDS, self.send), i.Cancel: self.cancel, i.Refuse: self.refuse,
-            i.Fail: self.fail, i.SetTimer: self.set_timer, i.Log: self.log_line,
+            i.Send: stages.call(costs.BACKENDS, self.send),
+            i.Cancel: self.cancel,
+            i.Refuse: self.refuse,
+            i.Fail: self.fail,
+            i.SetTimer: self.set_timer,
+            i.Log: self.log_line,
             i.Tell: stages.call(costs.PEERS, self.peers.tell),
             i.CloseIdle: lambda action: self.backends.close_idle(action.server),
-            i.Subscribe: lambda action: None, i.FetchList: lambda action: None,  # the watch is always on
+            i.Subscribe: lambda action: None,
+            i.FetchList: lambda action: None,  # the watch is always on
         }
 
     # --- start and end ---
@@ -136,8 +154,11 @@
     def known_list(self) -> dict[str, object]:
         """The list of scan servers as it is known now, in discovery's form."""
         pools = self.backends.pools
-        entries = [self.catalog.entry(server.entry, pools[name].address)
-                   for name, server in self.gateway.servers.items() if name in pools]
+        entries = [
+            self.catalog.entry(server.entry, pools[name].address)
+            for name, server in self.gateway.servers.items()
+            if name in pools
+        ]
         return {"generation": self.discovery.version or 0, "reset": True, "instances": entries}
 
     async def start(self) -> None:
@@ -154,10 +175,17 @@
 
     def reconfigure(self, config: Config) -> None:
         """Take over what can change while it serves: the address of discovery."""
-        fixed = replace(config, discovery=self.config.discovery, known=self.config.known,
-                        settings=replace(config.settings, seed=self.settings.seed))
-        changed = [field.name for field in fields(fixed)
-                   if getattr(fixed, field.name) != getattr(self.config, field.name)]
+        fixed = replace(
+            config,
+            discovery=self.config.discovery,
+            known=self.config.known,
+            settings=replace(config.settings, seed=self.settings.seed),
+        )
+        changed = [
+            field.name
+            for field in fields(fixed)
+            if getattr(fixed, field.name) != getattr(self.config, field.name)
+        ]
         if changed:
             log.warning("a restart is needed for new values of: %s", ", ".join(changed))
         where = ", ".join(f"{host}:{port}" for host, port in config.discovery)
@@ -195,8 +223,10 @@
         """What the requests so far have cost, as a line for the log."""
         held = {"requests": self.held_bytes, "clients": self.clients.waiting_bytes()}
         descriptors = {
-            "clients": self.clients.sockets, "listener": int(self.clients.listener is not None),
-            "backends": self.backends.count(), "discovery": self.discovery.sockets,
+            "clients": self.clients.sockets,
+            "listener": int(self.clients.listener is not None),
+            "backends": self.backends.count(),
+            "discovery": self.discovery.sockets,
             "peers": int(self.peers.transport is not None),
         }
         age = self.discovery.age_s()
@@ -416,9 +446,17 @@
         if data is FAILED or took > self.settings.classes[exchange.command.class_index].aim_us:
             budget = exchange.spent(now)
             self.costs.note_late(budget, now)
-            log.info("request %s %s after %d ms: %s", name, how, took // 1000, ", ".join(
-                f"{stage.name.lower()} {spent // 1000}"
-                for stage, spent in zip(Stage, budget.spent_by(now), strict=True) if spent))
+            log.info(
+                "request %s %s after %d ms: %s",
+                name,
+                how,
+                took // 1000,
+                ", ".join(
+                    f"{stage.name.lower()} {spent // 1000}"
+                    for stage, spent in zip(Stage, budget.spent_by(now), strict=True)
+                    if spent
+                ),
+            )
         elif reply.waits():
             reply.end_us = budget.end_us
             reply.budget = lambda: exchange.spent(now).enter(Stage.ANSWERING, now)
--- a/molereach/keep.py
+++ b/molereach/keep.py
@@ -189,8 +189,13 @@
 
     def snapshot(self, door: FrontDoor) -> Snapshot:
         return Snapshot(
-            name=self.config.name, settings=settings_of(self.config), at_ms=self.unix_ms(), mark=self.mark,
-            memory=collect(door.gateway), known=door.known_list())
+            name=self.config.name,
+            settings=settings_of(self.config),
+            at_ms=self.unix_ms(),
+            mark=self.mark,
+            memory=collect(door.gateway),
+            known=door.known_list(),
+        )
 
     def write(self, snapshot: Snapshot) -> None:
         """Put it in the old one's place, whole or not at all. A failure is told once, until it works."""
--- a/molereach/peers.py
+++ b/molereach/peers.py
@@ -13,7 +13,10 @@
     """Words to and from the other front doors; what strangers send or what is malformed is dropped."""
 
     def __init__(
-        self, addresses: tuple[Address, ...], me: int, heard: Callable[[i.PeerMessage], None],
+        self,
+        addresses: tuple[Address, ...],
+        me: int,
+        heard: Callable[[i.PeerMessage], None],
         costs: Costs | None = None,
     ) -> None:
         self.costs = costs or Costs()
--- a/molereach/takeover.py
+++ b/molereach/takeover.py
@@ -156,8 +156,14 @@
             for op in self.hand.refused():
                 self.begun(op, Told(how="full"))
             return
-        except (OSError, TimeoutError, CallError, FrameError, h11.ProtocolError,
-                msgspec.MsgspecError) as error:
+        except (
+            OSError,
+            TimeoutError,
+            CallError,
+            FrameError,
+            h11.ProtocolError,
+            msgspec.MsgspecError,
+        ) as error:
             if not self.away:
                 log.warning("no word of the steward at %s:%d: %s", *address, str(error) or "it is silent")
             self.away = True
@@ -234,8 +240,14 @@
             self.write(piece)
         elif piece.fence:
             piece.number += 1
-            op = Try(name=piece.name, fence=piece.fence, number=piece.number, server=attempt.server,
-                     place=place, unrun=not piece.was_out and not piece.ran)
+            op = Try(
+                name=piece.name,
+                fence=piece.fence,
+                number=piece.number,
+                server=attempt.server,
+                place=place,
+                unrun=not piece.was_out and not piece.ran,
+            )
             self.keep(piece, op)
         elif piece.name in self.by_name:  # a request of that name is out here: as if it were another door's
             self.wait(piece, self.begin_of(piece, attempt, place))
@@ -261,10 +273,18 @@
     def begin_of(self, piece: Piece, attempt: Attempt, place: str) -> Begin:
         command = piece.exchange.command
         rule = self.door.settings.classes[command.class_index]
-        return Begin(name=piece.name, id=command.id, digest=piece.digest, customer=command.words[1].decode(),
-                     effect=piece.effect, left_ms=piece.exchange.budget.left_us(now_us()) // 1000,
-                     window_ms=rule.window_us // 1000, request=encode(command.words), server=attempt.server,
-                     place=place)
+        return Begin(
+            name=piece.name,
+            id=command.id,
+            digest=piece.digest,
+            customer=command.words[1].decode(),
+            effect=piece.effect,
+            left_ms=piece.exchange.budget.left_us(now_us()) // 1000,
+            window_ms=rule.window_us // 1000,
+            request=encode(command.words),
+            server=attempt.server,
+            place=place,
+        )
 
     def place(self, class_index: int, entry: i.Server) -> str:
         """Where a scan server's repeats are dropped."""
@@ -532,8 +552,9 @@
         servers = self.door.gateway.servers
         if server in servers:
             return server
-        return next((name for name, known in servers.items()
-                     if self.place(class_index, known.entry) == place), "")
+        return next(
+            (name for name, known in servers.items() if self.place(class_index, known.entry) == place), ""
+        )
 
     def go_on(self, handed: Handed) -> None:
         """Work of a lost owner's is this door's now."""
--- a/rig/__main__.py
+++ b/rig/__main__.py
@@ -41,13 +41,22 @@
     end_on_signals()
 
 
-SEED = click.option("--seed", type=click.IntRange(0, MOST_SEED), default=1, show_default=True,
-                    help="Of load and faults; real processes are not the same twice.")
-SEEDS = click.option("--seeds", type=click.IntRange(1, 100), default=3, show_default=True,
-                     help="As many, from --first on.")
+SEED = click.option(
+    "--seed",
+    type=click.IntRange(0, MOST_SEED),
+    default=1,
+    show_default=True,
+    help="Of load and faults; real processes are not the same twice.",
+)
+SEEDS = click.option(
+    "--seeds", type=click.IntRange(1, 100), default=3, show_default=True, help="As many, from --first on."
+)
 FIRST = click.option("--first", type=click.IntRange(0, MOST_SEED), default=1, show_default=True)
-OUT = click.option("--out", type=click.Path(file_okay=False, path_type=Path),
-                   help="A folder to keep plan, histories and figures in.")
+OUT = click.option(
+    "--out",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="A folder to keep plan, histories and figures in.",
+)
 
 
 def told(found: Run) -> None:
@@ -64,10 +73,18 @@
 @cli.command("run")
 @click.argument("plan")
 @SEED
-@click.option("--twin/--no-twin", default=True, show_default=True,
-              help="Play the same load without faults first; without it the way back is not told.")
-@click.option("--tree", type=click.Path(exists=True, file_okay=False, path_type=Path), default=ROOT,
-              help="The front doors of this folder instead of this tree's.")
+@click.option(
+    "--twin/--no-twin",
+    default=True,
+    show_default=True,
+    help="Play the same load without faults first; without it the way back is not told.",
+)
+@click.option(
+    "--tree",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    default=ROOT,
+    help="The front doors of this folder instead of this tree's.",
+)
 @OUT
 def run_(plan: str, seed: int, twin: bool, tree: Path, out: Path | None) -> None:
     """Play PLAN (a name or a .toml file) with real processes. Exit code 3 where a rule was broken."""
@@ -96,12 +113,15 @@
             for side in order:
                 found = run(wanted, first + number, trees[side], lambda text: None)
                 sides[side].append(found)
-                say(f"{side}, seed {first + number}: full service {found.figures.full_s}, "
-                    f"{len(found.violations)} broken")
+                say(
+                    f"{side}, seed {first + number}: full service {found.figures.full_s}, "
+                    f"{len(found.violations)} broken"
+                )
                 if out is not None:
                     keep(found, out / f"{side.replace(' ', '-')}-{first + number}")
-    click.echo(show(rows([(side, [found.figures.as_json() for found in runs])
-                          for side, runs in sides.items()])))
+    click.echo(
+        show(rows([(side, [found.figures.as_json() for found in runs]) for side, runs in sides.items()]))
+    )
     for runs in sides.values():
         for found in runs:
             told(found)
@@ -111,16 +131,22 @@
 @cli.command()
 @click.argument("plan")
 @click.option("--parts", default="0.5,0.7,0.9,1.0", show_default=True, help="Shares of the doors.")
-@click.option("--states", default="none,kept,stale", show_default=True,
-              help="What the doors come back with: their snapshots, none, or ones an hour old.")
+@click.option(
+    "--states",
+    default="none,kept,stale",
+    show_default=True,
+    help="What the doors come back with: their snapshots, none, or ones an hour old.",
+)
 @click.option("--against", metavar="REV", help="Its front doors too, without state, in turns.")
 @SEEDS
 @FIRST
 @click.option("--jobs", type=click.IntRange(1, 64), default=2, show_default=True, help="Plays at once.")
-@click.option("--out", type=click.Path(file_okay=False, path_type=Path), required=True,
-              help="Where each play is kept.")
-def back(plan: str, parts: str, states: str, against: str | None, seeds: int, first: int, jobs: int,
-         out: Path) -> None:
+@click.option(
+    "--out", type=click.Path(file_okay=False, path_type=Path), required=True, help="Where each play is kept."
+)
+def back(
+    plan: str, parts: str, states: str, against: str | None, seeds: int, first: int, jobs: int, out: Path
+) -> None:
     """The way back after restarts of several shares of PLAN's doors: a table of medians."""
     from rig.back import STATES, cases, measure, table
 
@@ -188,9 +214,15 @@
     }
     if scenario.troubles:
         way = day.way(days.play(days.calm(scenario), seed))
-        found |= {"full_s": way["full_s"], "full_after_pong_s": way["full_after_back_s"],
-                  "worst_second": way["worst_second"], "lost": way["lost"], "connections": way["opened"],
-                  "connections_calm": way["opened_calm"], "pushed_over": way["fallen"]}
+        found |= {
+            "full_s": way["full_s"],
+            "full_after_pong_s": way["full_after_back_s"],
+            "worst_second": way["worst_second"],
+            "lost": way["lost"],
+            "connections": way["opened"],
+            "connections_calm": way["opened_calm"],
+            "pushed_over": way["fallen"],
+        }
     return found
 
 
@@ -198,8 +230,13 @@
 @click.option("--minutes", type=click.FloatRange(0.01, 1440), default=10.0, show_default=True)
 @click.option("--count", type=click.IntRange(1, 100_000), help="So many plans instead.")
 @SEED
-@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("found"),
-              show_default=True, help="Where a plan that breaks a rule is kept.")
+@click.option(
+    "--out",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=Path("found"),
+    show_default=True,
+    help="Where a plan that breaks a rule is kept.",
+)
 def soak(minutes: float, count: int | None, seed: int, out: Path) -> None:
     """Play random plans; one that breaks a rule is made small and kept as a .toml file."""
     from rig.soak import soak as play
@@ -229,15 +266,23 @@
         told(found)
         count, one = len(found.violations), divided(found.seen)
         wrong = wrong or bool(count)
-        click.echo(f"{seed:4}  {one.most_held:9.3f}  {text(one.regained_s):>10}  {one.unregained:12}  "
-                   f"{one.renewals:8}  {one.stewards:8}  {found.figures.served:6.3f}  {count:6}")
+        click.echo(
+            f"{seed:4}  {one.most_held:9.3f}  {text(one.regained_s):>10}  {one.unregained:12}  "
+            f"{one.renewals:8}  {one.stewards:8}  {found.figures.served:6.3f}  {count:6}"
+        )
     if wrong:
         sys.exit(BROKEN)
 
 
 @cli.command("deaths")
-@click.option("--deaths", "count", type=click.IntRange(1, 10_000), default=10, show_default=True,
-              help="At each point, of each kind of class, and seed.")
+@click.option(
+    "--deaths",
+    "count",
+    type=click.IntRange(1, 10_000),
+    default=10,
+    show_default=True,
+    help="At each point, of each kind of class, and seed.",
+)
 @click.option("--points", default=",".join(POINTS), show_default=True, help="Where doors die.")
 @click.option("--seeds", type=click.IntRange(1, 100), default=1, show_default=True)
 @FIRST
@@ -251,8 +296,9 @@
     tree, found = prepare(ROOT), []
     for seed in range(first, first + seeds):
         with TemporaryDirectory(prefix="deaths-") as folder:
-            found += asyncio.run(deaths(
-                tree, Path(folder), wanted, EFFECTS, count, seed, doors, not without, say))
+            found += asyncio.run(
+                deaths(tree, Path(folder), wanted, EFFECTS, count, seed, doors, not without, say)
+            )
         say(f"seed {seed}: {len(found)} deaths so far")
     click.echo(table(found))
     for death in found:
@@ -263,10 +309,12 @@
 
 
 @cli.command()
-@click.argument("runs", type=click.Path(exists=True, file_okay=False, path_type=Path), nargs=-1,
-                required=True)
-@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), default=Path("report.html"),
-              show_default=True)
+@click.argument(
+    "runs", type=click.Path(exists=True, file_okay=False, path_type=Path), nargs=-1, required=True
+)
+@click.option(
+    "--out", type=click.Path(dir_okay=False, path_type=Path), default=Path("report.html"), show_default=True
+)
 def report(runs: tuple[Path, ...], out: Path) -> None:
     """One HTML file with plots of the runs kept in these folders."""
     from rig.report import write
@@ -281,8 +329,10 @@
     for name in known():
         plan = load(name)
         kinds = ", ".join(dict.fromkeys(fault.kind for fault in plan.faults)) or "no fault"
-        click.echo(f"{name:12} {plan.fleet.doors} doors, {plan.fleet.servers.count} servers, "
-                   f"{plan.fleet.length_s:g} s: {kinds}")
+        click.echo(
+            f"{name:12} {plan.fleet.doors} doors, {plan.fleet.servers.count} servers, "
+            f"{plan.fleet.length_s:g} s: {kinds}"
+        )
 
 
 if __name__ == "__main__":
--- a/rig/back.py
+++ b/rig/back.py
@@ -50,11 +50,17 @@
     violations: list[str]
 
 
-def cases(sides: dict[str, Path], parts: Iterable[float], states: Iterable[str],
-          seeds: Iterable[int]) -> list[Case]:
+def cases(
+    sides: dict[str, Path], parts: Iterable[float], states: Iterable[str], seeds: Iterable[int]
+) -> list[Case]:
     """All plays in the order in which they are made: sides in turns, twins among them."""
-    return [Case(side, tree, part, state, seed) for seed in seeds for state in states
-            for part in (0.0, *parts) for side, tree in sides.items()]
+    return [
+        Case(side, tree, part, state, seed)
+        for seed in seeds
+        for state in states
+        for part in (0.0, *parts)
+        for side, tree in sides.items()
+    ]
 
 
 def plan_of(plan: Plan, case: Case) -> Plan:
@@ -74,8 +80,20 @@
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / "wanted.toml"
     path.write_text(dump(plan_of(plan, case)))
-    words = [sys.executable, "-m", "rig", "run", str(path), "--seed", str(case.seed), "--no-twin",
-             "--out", str(folder), "--tree", str(case.tree)]
+    words = [
+        sys.executable,
+        "-m",
+        "rig",
+        "run",
+        str(path),
+        "--seed",
+        str(case.seed),
+        "--no-twin",
+        "--out",
+        str(folder),
+        "--tree",
+        str(case.tree),
+    ]
     runner.run(words, ROOT, os.environ, case.name)
     return kept(folder)
 
@@ -88,8 +106,10 @@
         runs: dict[Case, Run] = {}
         for case, future in zip(wanted, futures, strict=True):
             runs[case] = future.result()
-            say(f"{len(runs)} of {len(wanted)}: {case.name}: served {runs[case].figures.served:.3f}, "
-                f"{len(runs[case].violations)} broken")
+            say(
+                f"{len(runs)} of {len(wanted)}: {case.name}: served {runs[case].figures.served:.3f}, "
+                f"{len(runs[case].violations)} broken"
+            )
     finally:
         runner.stop()
         pool.shutdown(cancel_futures=True)
@@ -97,8 +117,11 @@
     for case, run in runs.items():
         twin = runs[Case(case.side, case.tree, 0.0, case.state, case.seed)]
         if case.part:
-            found.append(Result(case, figures(run.seen, twin.seen),
-                                [f"{one.rule}: {one.text}" for one in run.violations]))
+            found.append(
+                Result(
+                    case, figures(run.seen, twin.seen), [f"{one.rule}: {one.text}" for one in run.violations]
+                )
+            )
     return found
 
 
@@ -123,6 +146,7 @@
     for key in dict.fromkeys((one.case.side, one.case.state, one.case.part) for one in results):
         of = [one for one in results if (one.case.side, one.case.state, one.case.part) == key]
         cells = [text(median([column(one.figures) for one in of])) for column in COLUMNS.values()]
-        rows.append([key[0], key[1], f"{key[2]:g}", str(len(of)), *cells,
-                     str(sum(len(one.violations) for one in of))])
+        rows.append(
+            [key[0], key[1], f"{key[2]:g}", str(len(of)), *cells, str(sum(len(one.violations) for one in of))]
+        )
     return rows
--- a/rig/checks.py
+++ b/rig/checks.py
@@ -76,8 +76,9 @@
     def read_downs(self) -> None:
         """From the fault, or the death, until it serves again."""
         gone: dict[str, int] = {}
-        for record in sorted((*self.by["died"], *self.by["started"], *self.by["fault"]),
-                             key=lambda record: record["at"]):
+        for record in sorted(
+            (*self.by["died"], *self.by["started"], *self.by["fault"]), key=lambda record: record["at"]
+        ):
             if record["kind"] == "fault":
                 names = record["struck"] if record["fault"] in ("kill", "term") else []
                 for name in names:
@@ -92,8 +93,12 @@
     def struck(self, door: int, begin: int, end: int) -> bool:
         """Whether a door was down or paused then, its links to clients at fault, or the rig itself late."""
         name = f"doors-{door}"
-        return (self.down.meet(name, begin, end) or self.paused.meet(name, begin, end)
-                or self.links.meet("clients-doors", begin, end) or self.stalled.meet("", begin, end))
+        return (
+            self.down.meet(name, begin, end)
+            or self.paused.meet(name, begin, end)
+            or self.links.meet("clients-doors", begin, end)
+            or self.stalled.meet("", begin, end)
+        )
 
 
 def one_answer(seen: Seen) -> list[Violation]:
@@ -110,17 +115,32 @@
             found.append(Violation("one answer", end["at"], f"request {end['id']} ended twice"))
         asked = tries.get(end["id"])
         if asked and end["how"] == "unreached" and not seen.struck(asked["door"], asked["at"], end["at"]):
-            found.append(Violation("one answer", end["at"], f"door {asked['door']} closed the connection "
-                                   f"of request {end['id']} without an answer"))
+            found.append(
+                Violation(
+                    "one answer",
+                    end["at"],
+                    f"door {asked['door']} closed the connection of request {end['id']} without an answer",
+                )
+            )
     for record in seen.by["lost"]:
         asked = tries[record["id"]]
         if not seen.struck(asked["door"], asked["at"], record["at"]):
-            found.append(Violation("one answer", record["at"], f"door {asked['door']} gave no answer to "
-                                   f"request {record['id']}"))
-    found += [Violation("one answer", record["at"], f"an answer that nobody asked for: {record['data']}")
-              for record in seen.by["extra"]]
-    found += [Violation("one answer", asked["at"], f"request {asked['id']} never ended at its client")
-              for asked in tries.values() if asked["id"] not in count]
+            found.append(
+                Violation(
+                    "one answer",
+                    record["at"],
+                    f"door {asked['door']} gave no answer to request {record['id']}",
+                )
+            )
+    found += [
+        Violation("one answer", record["at"], f"an answer that nobody asked for: {record['data']}")
+        for record in seen.by["extra"]
+    ]
+    found += [
+        Violation("one answer", asked["at"], f"request {asked['id']} never ended at its client")
+        for asked in tries.values()
+        if asked["id"] not in count
+    ]
     return found
 
 
@@ -131,8 +151,11 @@
     for record in seen.by["came"]:
         end = ends.get((record["server"], record["serial"]))
         if end is None:  # its scan server was killed with it
-            died = [gone["at"] for gone in seen.by["died"]
-                    if gone["who"] == record["server"] and gone["at"] >= record["at"]]
+            died = [
+                gone["at"]
+                for gone in seen.by["died"]
+                if gone["who"] == record["server"] and gone["at"] >= record["at"]
+            ]
             found[record["id"]].append((record, min(died, default=NEVER), "lost"))
         else:
             found[record["id"]].append((record, end["at"], end["how"]))
@@ -166,20 +189,29 @@
     rules = {rule.name: rule for rule in seen.plan.fleet.classes}
     ends = {(record["server"], record["serial"]): record for record in seen.by["left"]}
     asked = {record["id"]: record for record in seen.by["try"]}
-    served = {asked[record["id"]]["key"]: record["at"] for record in reversed(seen.by["end"])
-              if record["how"] == "served" and record["id"] in asked}
+    served = {
+        asked[record["id"]]["key"]: record["at"]
+        for record in reversed(seen.by["end"])
+        if record["how"] == "served" and record["id"] in asked
+    }
     ran: dict[str, list[Record]] = defaultdict(list)
     for record in seen.by["came"]:
         end = ends.get((record["server"], record["serial"]))
-        if record["key"] and rules[record["class"]].name in seen.plan.takeover and (
-                end is None or end["how"] in RUN):
+        if (
+            record["key"]
+            and rules[record["class"]].name in seen.plan.takeover
+            and (end is None or end["how"] in RUN)
+        ):
             ran[record["key"]].append(record)
     slack = seen.plan.limits.drain_ms * MS
     for key, records in ran.items():
         if len({record["zone"] for record in records}) > 1:
             found.append(Violation("kept work", records[-1]["at"], f"key {key} ran in two halls"))
-        found += [Violation("kept work", record["at"], f"key {key} ran again after its client was told")
-                  for record in records if record["at"] > served.get(key, NEVER) + slack]
+        found += [
+            Violation("kept work", record["at"], f"key {key} ran again after its client was told")
+            for record in records
+            if record["at"] > served.get(key, NEVER) + slack
+        ]
     return found
 
 
@@ -193,8 +225,13 @@
             late = late or seen.links.meet("doors-servers", before["at"], record["at"])
             late = late or seen.stalled.meet("", before["at"], record["at"])
             if ended > record["at"] + slack and not late:
-                found.append(Violation("one attempt", record["at"], f"request {name} is out at "
-                                       f"{before['server']} and {record['server']}"))
+                found.append(
+                    Violation(
+                        "one attempt",
+                        record["at"],
+                        f"request {name} is out at {before['server']} and {record['server']}",
+                    )
+                )
     return found
 
 
@@ -224,8 +261,14 @@
         elif (since := told[door].get(record["server"])) is not None:
             late = seen.paused.meet(door, since, at) or seen.stalled.meet("", since, since + grace)
             if at > since + grace and not late:
-                found.append(Violation("drains", at, f"{door} sent {record['id']} to {record['server']} "
-                                       f"{(at - since) // MS} ms after it was told"))
+                found.append(
+                    Violation(
+                        "drains",
+                        at,
+                        f"{door} sent {record['id']} to {record['server']} "
+                        f"{(at - since) // MS} ms after it was told",
+                    )
+                )
     return found
 
 
@@ -242,8 +285,9 @@
             continue
         counted.add(record["id"])
         plan = figures[record["plan"]]
-        account = found.setdefault(record["customer"], Account(
-            plan.rate, plan.burst, plan.ceiling, record["at"]))
+        account = found.setdefault(
+            record["customer"], Account(plan.rate, plan.burst, plan.ceiling, record["at"])
+        )
         units[record["plan"]].append((record["at"], account.send(1.0, record["at"])))
     return found, units
 
@@ -260,11 +304,22 @@
         beyond = sum(not inside for _, inside in sent)
         most = limits.quota_share * len(sent) + limits.quota_units * len(customers[plan.name])
         if plan.over_cost > plan.over_worth and beyond > most:
-            found.append(Violation("quotas", sent[-1][0], f"plan {plan.name}: {beyond} of {len(sent)} units "
-                                   f"beyond the quotas, {most:.1f} at most"))
-    found += [Violation("ceilings", seen.by["came"][-1]["at"], f"customer {name}: {-account.lowest:.1f} "
-                        f"units beyond its ceiling, {account.slack:g} at most")
-              for name, account in stores.items() if account.broken()]
+            found.append(
+                Violation(
+                    "quotas",
+                    sent[-1][0],
+                    f"plan {plan.name}: {beyond} of {len(sent)} units beyond the quotas, {most:.1f} at most",
+                )
+            )
+    found += [
+        Violation(
+            "ceilings",
+            seen.by["came"][-1]["at"],
+            f"customer {name}: {-account.lowest:.1f} units beyond its ceiling, {account.slack:g} at most",
+        )
+        for name, account in stores.items()
+        if account.broken()
+    ]
     return found
 
 
@@ -290,30 +345,53 @@
 
 def stale(seen: Seen) -> list[Violation]:
     """No door goes by a snapshot that is older than its bound."""
-    return [Violation("stale state", record["at"], f"door {record['door']} took up state of {age} s ago")
-            for record in seen.by["door"] for age in TAKEN_UP.findall(record["text"])
-            if float(age) > MOST_AGE_S]
+    return [
+        Violation("stale state", record["at"], f"door {record['door']} took up state of {age} s ago")
+        for record in seen.by["door"]
+        for age in TAKEN_UP.findall(record["text"])
+        if float(age) > MOST_AGE_S
+    ]
 
 
 def processes(seen: Seen) -> list[Violation]:
     """Nobody ends by itself, no cold scan server is pushed over, every command can be read, and no door's log
     has an error. Excused: what a door logs of the time for which it was paused, when it wakes."""
-    found = [Violation("processes", record["at"], f"{record['who']} ended by itself ({record['code']})")
-             for record in seen.by["died"] if not record["meant"]]
-    found += [Violation("cold servers", record["at"], f"{record['server']} was pushed over")
-              for record in seen.by["fell"]]
-    found += [Violation("processes", record["at"], f"{record['server']} cannot read {record['words']}")
-              for record in seen.by["unread"]]
-    found += [Violation("processes", record["at"], f"door {record['door']}: {record['text']}")
-              for record in seen.by["door"] if record["level"] in ("ERROR", "CRITICAL")
-              and not seen.paused.meet(f"doors-{record['door']}", record["at"], record["at"])]
+    found = [
+        Violation("processes", record["at"], f"{record['who']} ended by itself ({record['code']})")
+        for record in seen.by["died"]
+        if not record["meant"]
+    ]
+    found += [
+        Violation("cold servers", record["at"], f"{record['server']} was pushed over")
+        for record in seen.by["fell"]
+    ]
+    found += [
+        Violation("processes", record["at"], f"{record['server']} cannot read {record['words']}")
+        for record in seen.by["unread"]
+    ]
+    found += [
+        Violation("processes", record["at"], f"door {record['door']}: {record['text']}")
+        for record in seen.by["door"]
+        if record["level"] in ("ERROR", "CRITICAL")
+        and not seen.paused.meet(f"doors-{record['door']}", record["at"], record["at"])
+    ]
     return found
 
 
 CHECKS: dict[str, Callable[[Seen], list[Violation]]] = {
     check.__name__: check
-    for check in (one_answer, executions, kept_work, one_attempt, drains, quotas, budgets, further, stale,
-                  processes)
+    for check in (
+        one_answer,
+        executions,
+        kept_work,
+        one_attempt,
+        drains,
+        quotas,
+        budgets,
+        further,
+        stale,
+        processes,
+    )
 }
 
 
--- a/rig/clients.py
+++ b/rig/clients.py
@@ -165,10 +165,16 @@
         self.keys.pop(id(ask), None)
         self.program.open -= 1
         self.writer.note(
-            "ask", first_us=ask.first_us, customer=ask.customer.name, worth=ask.worth, ideal=ask.ideal,
-            tries=ask.tries, served=served.id if served else "",
+            "ask",
+            first_us=ask.first_us,
+            customer=ask.customer.name,
+            worth=ask.worth,
+            ideal=ask.ideal,
+            tries=ask.tries,
+            served=served.id if served else "",
             in_time=bool(served) and now_us() <= ask.aim_us,
-            **{"class": rule.name, "plan": self.day.scenario.plans[ask.customer.plan].name})
+            **{"class": rule.name, "plan": self.day.scenario.plans[ask.customer.plan].name},
+        )
 
 
 class Program:
@@ -181,8 +187,11 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.open = 0  # asks that have not ended
         self.world.clients = self.clients = Live(self, self.world)
-        self.world.doors = [Door(self, number, (host, int(port))) for number, address in enumerate(told.doors)
-                            for host, _, port in [address.rpartition(":")]]
+        self.world.doors = [
+            Door(self, number, (host, int(port)))
+            for number, address in enumerate(told.doors)
+            for host, _, port in [address.rpartition(":")]
+        ]
         self.began = asyncio.Event()
 
     def spawn(self, job: object) -> None:
@@ -196,10 +205,19 @@
         plan = scenario.plans[customer.plan].name
         left = max(0, (try_.end_us - now_us()) // 1000)
         key = self.clients.keys.setdefault(id(ask), try_.id) if rule.keyed else ""
-        self.writer.note("try", id=try_.id, door=door, customer=customer.name, key=key, left_ms=left,
-                         number=ask.tries, **{"class": rule.name, "plan": plan})
-        fields = (f"c={rule.name},t={plan},d={left},"
-                  f"units=1,spread={customer.size},first={customer.first}").encode()
+        self.writer.note(
+            "try",
+            id=try_.id,
+            door=door,
+            customer=customer.name,
+            key=key,
+            left_ms=left,
+            number=ask.tries,
+            **{"class": rule.name, "plan": plan},
+        )
+        fields = (
+            f"c={rule.name},t={plan},d={left},units=1,spread={customer.size},first={customer.first}"
+        ).encode()
         words = [customer.name.encode(), try_.id.encode()]
         if rule.keyed:
             return encode([b"SVC.SUBMIT", *words, fields + b",k=" + key.encode(), BODY])
--- a/rig/deaths.py
+++ b/rig/deaths.py
@@ -27,8 +27,15 @@
 from rig.errors import RigError
 from steward.wire import SIGNATURE, sign
 
-POINTS = ("before the intent", "after the intent", "in the write", "after the write", "before it is kept",
-          "after it is kept", "after the client has it")
+POINTS = (
+    "before the intent",
+    "after the intent",
+    "in the write",
+    "after the write",
+    "before it is kept",
+    "after it is kept",
+    "after the client has it",
+)
 EFFECTS = ("keyed", "unsafe")
 HALLS = 2
 TIME_MS = 3000  # `d` of a request
@@ -131,11 +138,14 @@
         except OSError:
             writer.close()
             return
-        self.fleet.tasks += [asyncio.ensure_future(self.pipe(reader, back, self.ask)),
-                             asyncio.ensure_future(self.pipe(there, writer, self.tell))]
-
-    async def pipe(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                   passes: Callable[[bytes], bool]) -> None:
+        self.fleet.tasks += [
+            asyncio.ensure_future(self.pipe(reader, back, self.ask)),
+            asyncio.ensure_future(self.pipe(there, writer, self.tell)),
+        ]
+
+    async def pipe(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, passes: Callable[[bytes], bool]
+    ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(1 << 20):
                 if not passes(data):
@@ -218,7 +228,8 @@
             scans = []
             for scan in range(2 * HALLS):
                 server = await loop.create_server(
-                    lambda door=number, hall=scan % HALLS: Scan(self, door, hall), HOST, 0)
+                    lambda door=number, hall=scan % HALLS: Scan(self, door, hall), HOST, 0
+                )
                 self.servers.append(server)
                 scans.append(server.sockets[0].getsockname())
             wire = Wire(self, number)
@@ -233,29 +244,67 @@
 
     def config(self, number: int, scans: list[Address], wire: Address, secret: Path) -> dict[str, Any]:
         """What a door is told: all of its fleet, and a list that nobody renews."""
-        instances = [{"instanceId": f"s-{n}", "hostPort": text(address), "zone": f"hall-{n % HALLS}",
-                      "machineType": "m1", "cell": n, "lifecycle": "SERVING", "weight": 1, "startedAtMs": 0}
-                     for n, address in enumerate(scans)]
+        instances = [
+            {
+                "instanceId": f"s-{n}",
+                "hostPort": text(address),
+                "zone": f"hall-{n % HALLS}",
+                "machineType": "m1",
+                "cell": n,
+                "lifecycle": "SERVING",
+                "weight": 1,
+                "startedAtMs": 0,
+            }
+            for n, address in enumerate(scans)
+        ]
         told = {"addresses": text(wire), "secret_file": str(secret), "classes": list(CLASSES.values())}
         classes = [
-            {"name": "submit-record", "on-time-us": 2_000_000, "deadline-us": 4_000_000, "points": 9,
-             "late-worth": 0.5, "idempotency": "idempotency_key", "group": "zone",
-             "window-us": WINDOW_MS * 1000},
-            {"name": "send-once", "on-time-us": 2_000_000, "deadline-us": 4_000_000, "points": 9,
-             "late-worth": 0.5, "idempotency": "non_idempotent", "window-us": WINDOW_MS * 1000}]
+            {
+                "name": "submit-record",
+                "on-time-us": 2_000_000,
+                "deadline-us": 4_000_000,
+                "points": 9,
+                "late-worth": 0.5,
+                "idempotency": "idempotency_key",
+                "group": "zone",
+                "window-us": WINDOW_MS * 1000,
+            },
+            {
+                "name": "send-once",
+                "on-time-us": 2_000_000,
+                "deadline-us": 4_000_000,
+                "points": 9,
+                "late-worth": 0.5,
+                "idempotency": "non_idempotent",
+                "window-us": WINDOW_MS * 1000,
+            },
+        ]
         listen, nobody = text((HOST, free_port())), text((HOST, free_port()))
         return {
-            "name": f"door-{number}", "listen": listen, "discovery": nobody,
+            "name": f"door-{number}",
+            "listen": listen,
+            "discovery": nobody,
             "seed": f"{self.random.getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "peers": [],
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "peers": [],
             "known": {"generation": 1, "reset": True, "instances": instances},
             "settings": {
-                "me": number, "balancers": len(self.doors), "zone": number % HALLS,
-                "zones": [f"hall-{n}" for n in range(HALLS)], "kinds": ["m1"], "categories": classes,
+                "me": number,
+                "balancers": len(self.doors),
+                "zone": number % HALLS,
+                "zones": [f"hall-{n}" for n in range(HALLS)],
+                "kinds": ["m1"],
+                "categories": classes,
                 "plans": [{"name": "standard", "units-per-s": 1000.0, "burst": 1000.0, "value-factor": 1.0}],
-                "ceilings": {"max-attempts": 5, "retry-after": True, "max-retry-after-us": 2_000_000,
-                             "may-cancel": True}},
-            **({"takeover": told} if self.takeover else {})}
+                "ceilings": {
+                    "max-attempts": 5,
+                    "retry-after": True,
+                    "max-retry-after-us": 2_000_000,
+                    "may-cancel": True,
+                },
+            },
+            **({"takeover": told} if self.takeover else {}),
+        }
 
     async def start_door(self, number: int) -> None:
         folder = self.folder / f"door-{number}"
@@ -278,8 +327,10 @@
         """What the steward says of all work so far."""
         secret = (self.folder / "secret").read_bytes()
         url = f"http://{text(self.steward.address)}/status"
-        async with ClientSession() as session, session.get(
-                url, headers={SIGNATURE: sign(secret, b"/status")}) as answer:
+        async with (
+            ClientSession() as session,
+            session.get(url, headers={SIGNATURE: sign(secret, b"/status")}) as answer,
+        ):
             return (await answer.json())["work"]
 
     # --- deaths ---
@@ -295,8 +346,14 @@
 
     def writing(self, data: bytes) -> Death | None:
         """The death in the middle of whose write these bytes are."""
-        return next((death for death in self.dying.values()
-                     if death.point == "in the write" and death.key.encode() in data), None)
+        return next(
+            (
+                death
+                for death in self.dying.values()
+                if death.point == "in the write" and death.key.encode() in data
+            ),
+            None,
+        )
 
     def key_of(self, words: list[bytes]) -> str:
         """What a piece of work goes by: its key, or the id of what has none."""
@@ -353,8 +410,15 @@
 
 
 async def deaths(
-    tree: Tree, folder: Path, points: tuple[str, ...], effects: tuple[str, ...], count: int, seed: int,
-    doors: int, takeover: bool = True, say: Callable[[str], None] = lambda text: None,
+    tree: Tree,
+    folder: Path,
+    points: tuple[str, ...],
+    effects: tuple[str, ...],
+    count: int,
+    seed: int,
+    doors: int,
+    takeover: bool = True,
+    say: Callable[[str], None] = lambda text: None,
 ) -> list[Death]:
     """So many deaths at each point, of each kind of class; half of the doors die, the others stay."""
     fleet = Deaths(tree, folder, seed, doors, takeover)
@@ -385,16 +449,20 @@
 
 def table(found: list[Death]) -> str:
     """By point and kind of class: how many died there, what ran how often, and what clients got."""
-    lines = ["| point | class | deaths | ran once | never | more often | ended well | wrong |",
-             "| --- | --- | --- | --- | --- | --- | --- | --- |"]
+    lines = [
+        "| point | class | deaths | ran once | never | more often | ended well | wrong |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
     for point in POINTS:
         for effect in EFFECTS:
             these = [death for death in found if (death.point, death.effect) == (point, effect)]
             if not these:
                 continue
             ran = [len(death.ran) for death in these]
-            lines.append(f"| {point} | {effect} | {sum(death.reached for death in these)} | {ran.count(1)} "
-                         f"| {ran.count(0)} | {sum(n > 1 for n in ran)} "
-                         f"| {sum(death.last == 'served' for death in these)} "
-                         f"| {sum(bool(death.wrong) for death in these)} |")
+            lines.append(
+                f"| {point} | {effect} | {sum(death.reached for death in these)} | {ran.count(1)} "
+                f"| {ran.count(0)} | {sum(n > 1 for n in ran)} "
+                f"| {sum(death.last == 'served' for death in these)} "
+                f"| {sum(bool(death.wrong) for death in these)} |"
+            )
     return "\n".join(lines)
--- a/rig/figures.py
+++ b/rig/figures.py
@@ -48,8 +48,11 @@
 def points(seen: Seen) -> list[Point]:
     """What was asked inside the quotas, and whether it was served in time."""
     start = start_us(seen)
-    return [(record["first_us"] - start, record["worth"], record["in_time"])
-            for record in seen.by["ask"] if record["ideal"]]
+    return [
+        (record["first_us"] - start, record["worth"], record["in_time"])
+        for record in seen.by["ask"]
+        if record["ideal"]
+    ]
 
 
 def busiest(times: Iterable[int], counts: Iterable[int] | None = None) -> int:
@@ -78,14 +81,18 @@
 
 def beyond(seen: Seen) -> int:
     costly = {plan.name for plan in seen.plan.fleet.plans if plan.over_cost > plan.over_worth}
-    return sum(not inside for plan, units in accounts(seen)[1].items() if plan in costly
-               for _, inside in units)
+    return sum(
+        not inside for plan, units in accounts(seen)[1].items() if plan in costly for _, inside in units
+    )
 
 
 def last_pong(seen: Seen, fault_at: int) -> int | None:
     """When the last door that was down answered PING again, by the rig's own look."""
-    came = [record["at"] for record in seen.by["started"]
-            if record["who"].startswith("doors-") and record["at"] > fault_at]
+    came = [
+        record["at"]
+        for record in seen.by["started"]
+        if record["who"].startswith("doors-") and record["at"] > fault_at
+    ]
     return max(came, default=None)
 
 
@@ -105,16 +112,23 @@
             after_pong = way_back(mine, usual, pong - start, end).full_s
     return Figures(
         served=sum(worth for _, worth, in_time in mine if in_time) / offered,
-        full_s=back.full_s if back else None, full_after_pong_s=after_pong,
-        worst_second=back.worst_second if back else None, lost=back.lost if back else None,
+        full_s=back.full_s if back else None,
+        full_after_pong_s=after_pong,
+        worst_second=back.worst_second if back else None,
+        lost=back.lost if back else None,
         connections=opened(seen, "doors-servers"),
         connections_calm=opened(calm, "doors-servers") if calm else None,
         list_reads=opened(seen, "doors-list", "doors-follower"),
         list_reads_calm=opened(calm, "doors-list", "doors-follower") if calm else None,
-        words=words(seen), words_calm=words(calm) if calm else None,
-        pushed_over=len(seen.by["fell"]), beyond=beyond(seen), beyond_calm=beyond(calm) if calm else None,
+        words=words(seen),
+        words_calm=words(calm) if calm else None,
+        pushed_over=len(seen.by["fell"]),
+        beyond=beyond(seen),
+        beyond_calm=beyond(calm) if calm else None,
         retries=len(seen.by["end"]) / max(1, len(seen.by["ask"])) - 1,
-        refused=ends["refused"], failed=ends["failed"], gone=ends["gone"],
+        refused=ends["refused"],
+        failed=ends["failed"],
+        gone=ends["gone"],
         rig_late_s=max((record["us"] / S for record in seen.by["stalled"]), default=0.0),
     )
 
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -50,8 +50,9 @@
 class Member:
     """One process of the fleet, running or not."""
 
-    def __init__(self, kind: str, number: int, zone: int, folder: Path,
-                 start: Callable[[Member], Awaitable[Process]]) -> None:
+    def __init__(
+        self, kind: str, number: int, zone: int, folder: Path, start: Callable[[Member], Awaitable[Process]]
+    ) -> None:
         self.kind, self.number, self.zone, self.folder, self.begin = kind, number, zone, folder, start
         self.name = f"{kind}-{number}"
         self.process: Process | None = None
@@ -201,10 +202,14 @@
         """The relay from one member to another; made when first asked for."""
         found = self.relays.get((link, near, far))
         if found is None:
-            make = (lambda: Listing(near, lambda name, at: self.address_of(near, name, at))) \
-                if link in ("doors-list", "doors-follower") else None
+            make = (
+                (lambda: Listing(near, lambda name, at: self.address_of(near, name, at)))
+                if link in ("doors-list", "doors-follower")
+                else None
+            )
             found = self.relays[link, near, far] = kind(
-                link, (near, far), self.state(link, near, far), target, self.writer, make)
+                link, (near, far), self.state(link, near, far), target, self.writer, make
+            )
         found.target = target
         return found
 
@@ -241,8 +246,7 @@
 
     async def start_follower(self, member: Member) -> Process:
         relay = self.relay("follower-list", member.name, "list-0", self.members["list-0"].process.address)
-        words = ("-m", "roster", "--follow", text(relay.address), "--listen",
-                 self.listen(member))
+        words = ("-m", "roster", "--follow", text(relay.address), "--listen", self.listen(member))
         process, _ = await start_program(words, member.folder / "log")
         return process
 
@@ -252,19 +256,44 @@
         config, secret = folder / "budgets.toml", folder / "secret"
         if not config.exists():
             plans = zip(self.plan.fleet.plans, self.world.plans, strict=True)
-            config.write_text(tomli_w.dumps({
-                "doors": self.plan.fleet.doors, "lease_ms": LEASE_MS,
-                "budgets": [*({"name": f"{kind}/{plan.name}/*", "rate": rate, "burst": int(burst)}
-                              for plan, figures in plans
-                              for kind, rate, burst in (("ceiling", *figures.ceiling[:2]),
-                                                        ("quota", figures.rate, figures.burst))
-                              if rate and burst >= 1 and (kind == "ceiling" or self.plan.quotas)),
-                            *({"name": FURTHER, "rate": rate, "burst": int(burst)}
-                              for rate, burst in [self.plan.further or (0, 0)] if rate)]}))
+            config.write_text(
+                tomli_w.dumps(
+                    {
+                        "doors": self.plan.fleet.doors,
+                        "lease_ms": LEASE_MS,
+                        "budgets": [
+                            *(
+                                {"name": f"{kind}/{plan.name}/*", "rate": rate, "burst": int(burst)}
+                                for plan, figures in plans
+                                for kind, rate, burst in (
+                                    ("ceiling", *figures.ceiling[:2]),
+                                    ("quota", figures.rate, figures.burst),
+                                )
+                                if rate and burst >= 1 and (kind == "ceiling" or self.plan.quotas)
+                            ),
+                            *(
+                                {"name": FURTHER, "rate": rate, "burst": int(burst)}
+                                for rate, burst in [self.plan.further or (0, 0)]
+                                if rate
+                            ),
+                        ],
+                    }
+                )
+            )
             secret.write_text(f"{random.Random(self.seed).getrandbits(256):064x}")
             begin(member.state, read_config(config))
-        words = ("-m", "steward", "serve", "--data", str(member.state), "--config", str(config), "--secret",
-                 str(secret), "--listen")
+        words = (
+            "-m",
+            "steward",
+            "serve",
+            "--data",
+            str(member.state),
+            "--config",
+            str(config),
+            "--secret",
+            str(secret),
+            "--listen",
+        )
         if self.plan.stewards == 1:
             process, _ = await start_program((*words, self.listen(member)), member.folder / "log")
             return process
@@ -283,11 +312,15 @@
         if not self.plan.has_steward:
             return {}
         found = self.of("steward")
-        relays = [text(self.relay("doors-steward", door, one.name, one.process.address, Renewals).address)
-                  for one in found]
+        relays = [
+            text(self.relay("doors-steward", door, one.name, one.process.address, Renewals).address)
+            for one in found
+        ]
         at = self.members[door].number % len(relays)
-        told = {"addresses": ",".join(relays[at:] + relays[:at]),
-                "secret_file": str(found[0].folder / "secret")}
+        told = {
+            "addresses": ",".join(relays[at:] + relays[:at]),
+            "secret_file": str(found[0].folder / "secret"),
+        }
         leased = {**told, "lease_ms": LEASE_MS, "quotas": self.plan.quotas}
         config: dict[str, Any] = {"steward": leased} if self.plan.steward else {}
         if self.plan.further:
@@ -299,13 +332,21 @@
 
     async def start_own(self, member: Member, module: str, **values: Any) -> Process:  # noqa: ANN401
         """One of the rig's own programs."""
-        told = Told(plan=self.plan, seed=self.seed, number=member.number, name=member.name,
-                    history=str(self.folder / "history" / f"{member.name}.jsonl"), cold=member.cold,
-                    clock_s=member.clock_s, **values)
+        told = Told(
+            plan=self.plan,
+            seed=self.seed,
+            number=member.number,
+            name=member.name,
+            history=str(self.folder / "history" / f"{member.name}.jsonl"),
+            cold=member.cold,
+            clock_s=member.clock_s,
+            **values,
+        )
         path = member.folder / "told.json"
         path.write_bytes(msgspec.json.encode(told))
-        process, _ = await start_program(("-m", module, str(path)), member.folder / "log",
-                                         stdin=asyncio.subprocess.PIPE)
+        process, _ = await start_program(
+            ("-m", module, str(path)), member.folder / "log", stdin=asyncio.subprocess.PIPE
+        )
         return process
 
     async def start_scan(self, member: Member) -> Process:
@@ -313,8 +354,10 @@
         return await self.start_own(member, "rig.scan", service=text(relay.address))
 
     async def start_clients(self, member: Member) -> Process:
-        doors = tuple(text(self.relay("clients-doors", member.name, door.name, door.process.address).address)
-                      for door in self.of("doors"))
+        doors = tuple(
+            text(self.relay("clients-doors", member.name, door.name, door.process.address).address)
+            for door in self.of("doors")
+        )
         return await self.start_own(member, "rig.clients", doors=doors)
 
     async def start_front_door(self, member: Member) -> Process:
@@ -324,18 +367,24 @@
             sources.insert(1 - number % 2, ("follower-0", "doors-follower"))
         if not self.tree.many_lists:
             del sources[1:]
-        relays = [self.relay(link, member.name, source, self.members[source].process.address)
-                  for source, link in sources]
+        relays = [
+            self.relay(link, member.name, source, self.members[source].process.address)
+            for source, link in sources
+        ]
         config = {
-            "name": member.name, "listen": text(self.listens[number]),
+            "name": member.name,
+            "listen": text(self.listens[number]),
             "discovery": ",".join(text(relay.address) for relay in relays),
             "seed": f"{self.random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
-            "peer_listen": text(self.peer_listens[number]), "known": {},
+            "peer_listen": text(self.peer_listens[number]),
+            "known": {},
             "peers": [text(address) for address in self.peers.seen_by(number)],
-            "settings": self.world.settings(number), "clock_offset_ms": round(member.clock_s * 1000),
+            "settings": self.world.settings(number),
+            "clock_offset_ms": round(member.clock_s * 1000),
             **({"state_dir": str(member.state)} if self.plan.state else {}),
-            **self.steward_of(member.name), **self.more,
+            **self.steward_of(member.name),
+            **self.more,
         }
         process = await start_door(self.tree, config, member.folder)
         try:
--- a/rig/history.py
+++ b/rig/history.py
@@ -77,8 +77,13 @@
         with contextlib.suppress(ValueError):
             at = datetime.strptime(line[:STAMP], STAMP_FORM).timestamp()
             level, _, text = line[STAMP + 1 :].partition(" ")
-            yield {"at": round(at * 1e6) + offset_us, "kind": "door", "door": door, "level": level,
-                   "text": text.partition(": ")[2]}
+            yield {
+                "at": round(at * 1e6) + offset_us,
+                "kind": "door",
+                "door": door,
+                "level": level,
+                "text": text.partition(": ")[2],
+            }
 
 
 def offset_us() -> int:
--- a/rig/leases.py
+++ b/rig/leases.py
@@ -72,13 +72,24 @@
             try:
                 if side.out.way == THERE:
                     ask = msgspec.msgpack.decode(body, type=Ask)
-                    self.note("asked", door=ask.door, mark=ask.mark, serial=ask.serial,
-                              fences={want.budget: want.fence for want in ask.wants if want.fence})
+                    self.note(
+                        "asked",
+                        door=ask.door,
+                        mark=ask.mark,
+                        serial=ask.serial,
+                        fences={want.budget: want.fence for want in ask.wants if want.fence},
+                    )
                 elif first.split()[1:2] == [b"200"]:
                     told = msgspec.msgpack.decode(body, type=Answer)
-                    self.note("granted", door=told.door, mark=told.mark, serial=told.serial,
-                              steward=self.sides[1], lease_ms=told.lease_ms,
-                              parts={one.budget: [one.fence, one.part] for one in told.grants})
+                    self.note(
+                        "granted",
+                        door=told.door,
+                        mark=told.mark,
+                        serial=told.serial,
+                        steward=self.sides[1],
+                        lease_ms=told.lease_ms,
+                        parts={one.budget: [one.fence, one.part] for one in told.grants},
+                    )
             except msgspec.MsgspecError:
                 continue  # a body of another call
 
@@ -110,8 +121,10 @@
             continue  # to an ask that no relay saw
         lease_us = round(record["lease_ms"] * 1000 * (1 - MARGIN_SHARE))
         for budget, (fence, part) in record["parts"].items():
-            left = min((at for at, known in later[record["door"], record["mark"], budget] if known > fence),
-                       default=begin + lease_us)
+            left = min(
+                (at for at, known in later[record["door"], record["mark"], budget] if known > fence),
+                default=begin + lease_us,
+            )
             if (end := min(begin + lease_us, left)) > record["at"]:
                 found.append(Held(budget, record["door"], record["mark"], part, record["at"], end))
     return found
@@ -120,8 +133,11 @@
 def sums(held: Iterable[Held]) -> Iterator[tuple[int, int]]:
     """At each moment at which it changes, what all may believe in together: of each holder, the most."""
     many = list(held)
-    changes = sorted(change for number, one in enumerate(many) for change in (
-        (one.end_us, 0, number), (one.begin_us, 1, number)))  # what ends then is over
+    changes = sorted(
+        change
+        for number, one in enumerate(many)
+        for change in ((one.end_us, 0, number), (one.begin_us, 1, number))
+    )  # what ends then is over
     live: dict[tuple[int, int], list[int]] = defaultdict(list)
     total = 0
     for at, begins, number in changes:
@@ -186,27 +202,41 @@
 def divided(seen: Seen) -> Divided:
     most, held = wholes(seen), by_budget(seen)
     shares = [total / whole_of(most, budget) for budget, many in held.items() for _, total in sums(many)]
-    deaths = [(int(record["who"].removeprefix("doors-")), record["at"]) for record in seen.by["died"]
-              if record["who"].startswith("doors-") and record["at"] < seen.by["go"][0]["end_us"]]
-    waits = [wait for budget, many in held.items()
-             for wait in regained(many, deaths, whole_of(most, budget))]
+    deaths = [
+        (int(record["who"].removeprefix("doors-")), record["at"])
+        for record in seen.by["died"]
+        if record["who"].startswith("doors-") and record["at"] < seen.by["go"][0]["end_us"]
+    ]
+    waits = [wait for budget, many in held.items() for wait in regained(many, deaths, whole_of(most, budget))]
     known = [wait / S for wait in waits if wait is not None]
-    return Divided(max(shares, default=0.0), median(known) if known else None, len(waits) - len(known),
-                   len(seen.by["granted"]), len({record["steward"] for record in seen.by["granted"]}))
+    return Divided(
+        max(shares, default=0.0),
+        median(known) if known else None,
+        len(waits) - len(known),
+        len(seen.by["granted"]),
+        len({record["steward"] for record in seen.by["granted"]}),
+    )
 
 
 def regained(held: list[Held], deaths: list[tuple[int, int]], whole: int) -> Iterator[int | None]:
     """For each death of a door that held a part of a budget that was given out, how long until others were
     granted as much in its place."""
     for door, at in deaths:
-        mine = max((one.part for one in held if one.door == door and one.begin_us <= at < one.end_us),
-                   default=0)
+        mine = max(
+            (one.part for one in held if one.door == door and one.begin_us <= at < one.end_us), default=0
+        )
         if not mine or sum_at(held, at) < FULL_SHARE * whole:
             continue
         others = [one for one in held if one.begin_us > at or one.door != door]
         target = sum_at(others, at) + FULL_SHARE * mine
-        yield min((one.begin_us - at for one in others
-                   if one.begin_us > at and sum_at(others, one.begin_us) >= target), default=None)
+        yield min(
+            (
+                one.begin_us - at
+                for one in others
+                if one.begin_us > at and sum_at(others, one.begin_us) >= target
+            ),
+            default=None,
+        )
 
 
 def sum_at(held: Iterable[Held], at: int) -> int:
--- a/rig/listing.py
+++ b/rig/listing.py
@@ -59,10 +59,17 @@
             for entry in value.get("instances", ()):
                 if "hostPort" in entry:
                     entry["hostPort"] = self.address_of(entry["instanceId"], entry["hostPort"])
-            notes = [{"kind": "told", "door": self.door, "generation": value.get("generation"),
-                      "whole": bool(value.get("reset")),
-                      "servers": {entry["instanceId"]: entry["lifecycle"] for entry in
-                                  value.get("instances", ())}}]
+            notes = [
+                {
+                    "kind": "told",
+                    "door": self.door,
+                    "generation": value.get("generation"),
+                    "whole": bool(value.get("reset")),
+                    "servers": {
+                        entry["instanceId"]: entry["lifecycle"] for entry in value.get("instances", ())
+                    },
+                }
+            ]
             line = msgspec.json.encode(value)
         line += b"\n"
         return b"%x\r\n%b\r\n" % (len(line), line), notes
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -19,13 +19,39 @@
 
 # Kinds of process, and of link: between two kinds of process, the one that connects first.
 Who = Literal["doors", "servers", "list", "follower", "steward", "clients"]
-Link = Literal["clients-doors", "doors-servers", "doors-doors", "doors-list", "doors-follower",
-               "doors-steward", "servers-list", "follower-list"]
+Link = Literal[
+    "clients-doors",
+    "doors-servers",
+    "doors-doors",
+    "doors-list",
+    "doors-follower",
+    "doors-steward",
+    "servers-list",
+    "follower-list",
+]
 ON_PROCESSES = ("kill", "term", "pause", "full_disk", "move")
 ON_SERVERS = ("bad", "errors_fast", "slow", "replace")
 ON_LINKS = ("cut", "hold", "delay", "lose", "repeat", "reorder", "limit", "break")
-Kind = Literal["kill", "term", "pause", "full_disk", "move", "bad", "errors_fast", "slow", "replace", "burst",
-               "cut", "hold", "delay", "lose", "repeat", "reorder", "limit", "break"]
+Kind = Literal[
+    "kill",
+    "term",
+    "pause",
+    "full_disk",
+    "move",
+    "bad",
+    "errors_fast",
+    "slow",
+    "replace",
+    "burst",
+    "cut",
+    "hold",
+    "delay",
+    "lose",
+    "repeat",
+    "reorder",
+    "limit",
+    "break",
+]
 MOST_DOORS = 200  # a loopback address for each; the largest fleet of the operators
 MOST_LENGTH_S = 600
 TAIL_S = 4.0  # after the last ask: the longest deadline of the operators' classes, and a drain
@@ -134,17 +160,23 @@
         raise RigError(f"{name}: quotas by leases take a steward that divides budgets")
     if fleet.doors > MOST_DOORS or fleet.length_s > MOST_LENGTH_S:
         raise RigError(f"{name}: at most {MOST_DOORS} doors for {MOST_LENGTH_S} s")
-    counts: dict[str, Count] = {"doors": fleet.doors, "servers": fleet.servers.count, "clients": plan.clients,
-                                "list": 1, "follower": int(plan.follower),
-                                "steward": plan.stewards if plan.has_steward else 0}
+    counts: dict[str, Count] = {
+        "doors": fleet.doors,
+        "servers": fleet.servers.count,
+        "clients": plan.clients,
+        "list": 1,
+        "follower": int(plan.follower),
+        "steward": plan.stewards if plan.has_steward else 0,
+    }
     for fault in plan.faults:
         if fault.at_s > fleet.length_s:
             raise RigError(f"{name}: {fault.kind} begins after the end")
         if fault.zone is not None and fault.zone >= fleet.net.zones:
             raise RigError(f"{name}: {fault.kind} strikes hall {fault.zone} of {fleet.net.zones}")
         if fault.numbers and max(fault.numbers) >= counts[fault.on]:
-            raise RigError(f"{name}: {fault.kind} strikes {fault.on} {max(fault.numbers)} of "
-                           f"{counts[fault.on]}")
+            raise RigError(
+                f"{name}: {fault.kind} strikes {fault.on} {max(fault.numbers)} of {counts[fault.on]}"
+            )
         if fault.kind in ON_PROCESSES and not counts[fault.on]:
             raise RigError(f"{name}: {fault.kind} strikes the {fault.on}, and there is none")
         if fault.kind in ("lose", "repeat", "reorder", "break", "bad", "errors_fast") and fault.size > 1:
--- a/rig/play.py
+++ b/rig/play.py
@@ -43,8 +43,9 @@
         self.say(f"{self.plan.name}: starting {len(fleet.members)} processes")
         await fleet.start_all()
         self.start_us = now_us() + LEAD_US
-        fleet.writer.note("go", start_us=self.start_us, end_us=self.start_us + round(
-            self.plan.fleet.length_s * S))
+        fleet.writer.note(
+            "go", start_us=self.start_us, end_us=self.start_us + round(self.plan.fleet.length_s * S)
+        )
         for member in fleet.of("clients"):
             member.meant = True  # to end, with its load
             member.order(go=self.start_us)
@@ -110,25 +111,36 @@
         spread = fault.for_s if fault.kind == "replace" else spread
         async with asyncio.TaskGroup() as group:
             for number, member in enumerate(struck):
-                group.create_task(self.strike_one(
-                    fault, member, spread * number / max(1, len(struck)), chance.uniform(*fault.back_s)))
+                group.create_task(
+                    self.strike_one(
+                        fault, member, spread * number / max(1, len(struck)), chance.uniform(*fault.back_s)
+                    )
+                )
         self.note(index, fault, [member.name for member in struck], "undone")
 
     def chosen(self, fault: Fault, chance: random.Random) -> list[Member]:
         """The members that it strikes: those of the numbers, or a part of a kind by chance."""
         kind = fault.on if fault.kind in ON_PROCESSES else "servers"
-        members = [member for member in self.fleet.of(kind)
-                   if fault.zone is None or member.zone == fault.zone]
+        members = [
+            member for member in self.fleet.of(kind) if fault.zone is None or member.zone == fault.zone
+        ]
         if fault.numbers:
             return [member for member in members if member.number in fault.numbers]
-        return sorted(chance.sample(members, round(len(members) * fault.part)),
-                      key=lambda member: member.number)
+        return sorted(
+            chance.sample(members, round(len(members) * fault.part)), key=lambda member: member.number
+        )
 
     async def strike_one(self, fault: Fault, member: Member, after_s: float, back_s: float) -> None:
         await asyncio.sleep(after_s)
         for _ in range(fault.times):
-            act = {"kill": self.kill, "term": self.term, "pause": self.pause, "full_disk": self.full_disk,
-                   "move": self.move, "replace": self.replace}.get(fault.kind, self.serve_badly)
+            act = {
+                "kill": self.kill,
+                "term": self.term,
+                "pause": self.pause,
+                "full_disk": self.full_disk,
+                "move": self.move,
+                "replace": self.replace,
+            }.get(fault.kind, self.serve_badly)
             # One that is ended while it is away, or on its way back, is ended once it serves: it must not be
             # started twice.
             async with member.ending if fault.kind in ("kill", "term") else nullcontext():
@@ -188,9 +200,11 @@
         await member.process.process.wait()
 
     async def serve_badly(self, fault: Fault, member: Member, back_s: float) -> None:
-        worse, usual = {"bad": ({"bad": fault.size}, {"bad": 0.0}),
-                        "errors_fast": ({"bad": fault.size, "fast": True}, {"bad": 0.0, "fast": False}),
-                        "slow": ({"slow": max(1.0, fault.size)}, {"slow": 1.0})}[fault.kind]
+        worse, usual = {
+            "bad": ({"bad": fault.size}, {"bad": 0.0}),
+            "errors_fast": ({"bad": fault.size, "fast": True}, {"bad": 0.0, "fast": False}),
+            "slow": ({"slow": max(1.0, fault.size)}, {"slow": 1.0}),
+        }[fault.kind]
         member.order(**worse)
         await asyncio.sleep(fault.for_s)
         member.order(**usual)
--- a/rig/relay.py
+++ b/rig/relay.py
@@ -52,9 +52,14 @@
     def apply(self, kind: str, way: str, size: float) -> None:
         """A fault of the plan's page, on top of what there is."""
         field, value = {
-            "cut": (self.cut, True), "hold": (self.hold, True), "delay": (self.delay_us, round(size * 1000)),
-            "lose": (self.lose, size), "repeat": (self.repeat, size), "reorder": (self.reorder, size),
-            "limit": (self.limit, size), "break": (self.broken, size),
+            "cut": (self.cut, True),
+            "hold": (self.hold, True),
+            "delay": (self.delay_us, round(size * 1000)),
+            "lose": (self.lose, size),
+            "repeat": (self.repeat, size),
+            "reorder": (self.reorder, size),
+            "limit": (self.limit, size),
+            "break": (self.broken, size),
         }[kind]
         for at in {"both": (THERE, BACK), "there": (THERE,), "back": (BACK,)}[way]:
             field[at] = max(field[at], value)
@@ -225,7 +230,12 @@
     """An address at which one process reaches another."""
 
     def __init__(
-        self, link: str, sides: tuple[str, str], state: State, target: Address, writer: Writer,
+        self,
+        link: str,
+        sides: tuple[str, str],
+        state: State,
+        target: Address,
+        writer: Writer,
         make_filter: Callable[[], Filter] | None = None,
     ) -> None:
         """`sides` are the names of both processes, the connecting one first."""
@@ -314,8 +324,9 @@
         if side.filter is None and data.startswith(b"*") and side.out.way == THERE:
             words = data.split(b"\r\n", 7)
             if len(words) > 6:
-                self.note("sent", door=self.sides[0], server=self.sides[1],
-                          id=words[6].decode(errors="replace"))
+                self.note(
+                    "sent", door=self.sides[0], server=self.sides[1], id=words[6].decode(errors="replace")
+                )
 
 
 class Datagrams(asyncio.DatagramProtocol):
@@ -351,14 +362,18 @@
             for receiver in range(len(self.doors)):
                 if sender != receiver:
                     _, found = await self.loop.create_datagram_endpoint(
-                        lambda s=sender, r=receiver: Datagrams(self, s, r), local_addr=(HOST, 0))
+                        lambda s=sender, r=receiver: Datagrams(self, s, r), local_addr=(HOST, 0)
+                    )
                     self.sockets[sender, receiver] = found
 
     def seen_by(self, door: int) -> list[Address]:
         """The addresses of all doors as one of them is told them."""
-        return [self.doors[number] if number == door
-                else self.sockets[door, number].transport.get_extra_info("sockname")
-                for number in range(len(self.doors))]
+        return [
+            self.doors[number]
+            if number == door
+            else self.sockets[door, number].transport.get_extra_info("sockname")
+            for number in range(len(self.doors))
+        ]
 
     def passed(self, sender: int, receiver: int, data: bytes) -> None:
         state = self.state(min(sender, receiver), max(sender, receiver))
--- a/rig/report.py
+++ b/rig/report.py
@@ -22,8 +22,10 @@
     """Each fault, from and to in seconds of the load."""
     start = start_us(seen)
     ends = {record["number"]: (record["at"] - start) / S for record in seen.by["undone"]}
-    return [((record["at"] - start) / S, ends.get(record["number"], length_s), record["fault"])
-            for record in seen.by["fault"]]
+    return [
+        ((record["at"] - start) / S, ends.get(record["number"], length_s), record["fault"])
+        for record in seen.by["fault"]
+    ]
 
 
 def states(seen: Seen, length_s: float) -> list[list[tuple[float, float, str]]]:
@@ -42,6 +44,7 @@
 def plots(run: Run) -> str:
     """The run's plots as one PNG in base64."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
@@ -75,8 +78,9 @@
         axes[4].broken_barh([(0, length)], (door - 0.4, 0.8), color=COLOURS["up"])
         for begin, end, kind in spans:
             axes[4].broken_barh([(begin, end - begin)], (door - 0.4, 0.8), color=COLOURS[kind])
-    axes[4].set(title="doors: serving, down (red), paused (yellow)", ylabel="door", xlabel="second",
-                xlim=(0, length))
+    axes[4].set(
+        title="doors: serving, down (red), paused (yellow)", ylabel="door", xlabel="second", xlim=(0, length)
+    )
     for axis in axes:
         for begin, end, _ in bands(seen, length):
             axis.axvspan(begin, max(end, begin + 0.05), alpha=0.12, color="#a00")
@@ -93,14 +97,20 @@
 
 def section(name: str, run: Run) -> str:
     cells = rows([("value", [run.figures.as_json()])])[1:]
-    parts = [f"<h2>{html.escape(name)}: {html.escape(run.plan.name)}, seed {run.seed}</h2>", "<table>",
-             *(f"<tr><td>{html.escape(figure)}</td><td>{html.escape(value)}</td></tr>"
-               for figure, value in cells), "</table>"]
+    parts = [
+        f"<h2>{html.escape(name)}: {html.escape(run.plan.name)}, seed {run.seed}</h2>",
+        "<table>",
+        *(f"<tr><td>{html.escape(figure)}</td><td>{html.escape(value)}</td></tr>" for figure, value in cells),
+        "</table>",
+    ]
     if run.violations:
         start = start_us(run.seen)
         parts.append(f"<h3>{len(run.violations)} broken rules</h3><table>")
-        parts += [f"<tr><td>{(one.at_us - start) / S:.2f} s</td><td>{html.escape(one.rule)}</td>"
-                  f"<td>{html.escape(one.text)}</td></tr>" for one in run.violations[:MOST_LISTED]]
+        parts += [
+            f"<tr><td>{(one.at_us - start) / S:.2f} s</td><td>{html.escape(one.rule)}</td>"
+            f"<td>{html.escape(one.text)}</td></tr>"
+            for one in run.violations[:MOST_LISTED]
+        ]
         parts.append("</table>")
     else:
         parts.append("<p>Rules kept.</p>")
@@ -110,9 +120,16 @@
 
 def write(runs: list[tuple[str, Run]], out: Path) -> None:
     """The report of these runs, as one file that needs no other."""
-    page = "\n".join(["<!doctype html>", '<html lang="en"><meta charset="utf-8">',
-                      f"<title>Runs of real processes</title><style>{STYLE}</style>",
-                      "<h1>Runs of real processes</h1>", *(section(*one) for one in runs), "</html>\n"])
+    page = "\n".join(
+        [
+            "<!doctype html>",
+            '<html lang="en"><meta charset="utf-8">',
+            f"<title>Runs of real processes</title><style>{STYLE}</style>",
+            "<h1>Runs of real processes</h1>",
+            *(section(*one) for one in runs),
+            "</html>\n",
+        ]
+    )
     try:
         out.write_text(page)
     except OSError as error:
--- a/rig/runs.py
+++ b/rig/runs.py
@@ -36,16 +36,19 @@
 
 def play_once(plan: Plan, seed: int, tree: Tree, say: Say, more: dict[str, Any] | None = None) -> Seen:
     """Play a plan in a folder that is gone afterwards. Ctrl-C ends all processes first."""
-    with tempfile.TemporaryDirectory(prefix="rig-") as folder, \
-            asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with (
+        tempfile.TemporaryDirectory(prefix="rig-") as folder,
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+    ):
         try:
             return Seen(runner.run(play(plan, seed, tree, Path(folder), say, more)), plan, seed)
         except asyncio.CancelledError:  # by SIGTERM or Ctrl-C, and all processes have ended
             raise KeyboardInterrupt from None
 
 
-def run(plan: Plan, seed: int, tree: Tree, say: Say, twin: bool = True,
-        more: dict[str, Any] | None = None) -> Run:
+def run(
+    plan: Plan, seed: int, tree: Tree, say: Say, twin: bool = True, more: dict[str, Any] | None = None
+) -> Run:
     """Play a plan, and before it the same load without its faults."""
     calm = play_once(plan.calm, seed, tree, say, more) if twin and plan.calm != plan else None
     seen = play_once(plan, seed, tree, say, more)
@@ -57,8 +60,11 @@
     try:
         folder.mkdir(parents=True, exist_ok=True)
         (folder / PLAN).write_text(dump(found.plan))
-        result = {"seed": found.seed, "figures": found.figures.as_json(),
-                  "violations": [[one.rule, one.at_us, one.text] for one in found.violations]}
+        result = {
+            "seed": found.seed,
+            "figures": found.figures.as_json(),
+            "violations": [[one.rule, one.at_us, one.text] for one in found.violations],
+        }
         (folder / RESULT).write_bytes(msgspec.json.format(msgspec.json.encode(result)) + b"\n")
     except OSError as error:
         raise RigError(f"{folder}: {error.strerror}") from error
@@ -105,8 +111,10 @@
 
 def show(table: list[list[str]]) -> str:
     widths = [max(len(row[n]) for row in table) for n in range(len(table[0]))]
-    return "\n".join("  ".join(cell.ljust(width) if not n else cell.rjust(width)
-                               for n, (cell, width) in enumerate(zip(row, widths, strict=True)))
-                     for row in table)
-
-
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) if not n else cell.rjust(width)
+            for n, (cell, width) in enumerate(zip(row, widths, strict=True))
+        )
+        for row in table
+    )
--- a/rig/scan.py
+++ b/rig/scan.py
@@ -97,8 +97,14 @@
         self.zone = told.number % plan.fleet.net.zones
         cells = plan.fleet.net.zones * (told.number // plan.fleet.net.zones // plan.fleet.servers.cell_size)
         self.server = ScanServer(
-            self.clock, world.traits, self.stream, told.name, (self.zone, self.zone + cells),
-            world.demand.mean_work_us, told.cold)
+            self.clock,
+            world.traits,
+            self.stream,
+            told.name,
+            (self.zone, self.zone + cells),
+            world.demand.mean_work_us,
+            told.cold,
+        )
         self.writer = Writer(Path(told.history))
         self.connections: set[Connection] = set()
         self.serial = itertools.count(now_us())  # also over restarts nobody else's at this server
@@ -108,11 +114,17 @@
         listener = await self.loop.create_server(lambda: Connection(self), HOST, 0)
         address = "{}:{}".format(*listener.sockets[0].getsockname())
         started = round((time.time() + self.told.clock_s) * 1000) if self.told.cold else 0
-        values = {"address": address, "zone": hall(self.zone), "machine_type": "m1",
-                  "cell": self.server.cell, "started_ms": started,
-                  "lease_ms": round(self.told.plan.lease_s * 1000)}
+        values = {
+            "address": address,
+            "zone": hall(self.zone),
+            "machine_type": "m1",
+            "cell": self.server.cell,
+            "started_ms": started,
+            "lease_ms": round(self.told.plan.lease_s * 1000),
+        }
         self.registration = Registration(
-            self.told.service, self.told.name, values, random.Random(self.told.seed + self.told.number))
+            self.told.service, self.told.name, values, random.Random(self.told.seed + self.told.number)
+        )
         await self.registration.start()
         print(f"scan server {self.told.name} serves at {address}", flush=True)
         await orders(self.order)
@@ -151,9 +163,15 @@
         work = Work(work_us, now_us() + int(fields["d"]) * 1000, self.ended)
         connection.serving = work.served = Served(connection, next(self.serial), work)
         self.writer.note(
-            "came", server=self.told.name, zone=self.zone, serial=connection.serving.serial,
-            id=words[2].decode(), customer=words[1].decode(), key=fields.get("k", ""),
-            **{"class": fields["c"], "plan": fields["t"]})
+            "came",
+            server=self.told.name,
+            zone=self.zone,
+            serial=connection.serving.serial,
+            id=words[2].decode(),
+            customer=words[1].decode(),
+            key=fields.get("k", ""),
+            **{"class": fields["c"], "plan": fields["t"]},
+        )
         if not connection.taken:
             self.server.end(work, "full")
             return
