--- a/rig/soak.py
+++ b/rig/soak.py
@@ -20,12 +20,35 @@
 
 LENGTH_S = 8.0
 MOST_DOORS, MOST_SERVERS, MOST_FAULTS = 6, 6, 4
-LINKS = ("clients-doors", "doors-servers", "doors-doors", "doors-list", "doors-follower", "servers-list",
-         "follower-list")
+LINKS = (
+    "clients-doors",
+    "doors-servers",
+    "doors-doors",
+    "doors-list",
+    "doors-follower",
+    "servers-list",
+    "follower-list",
+)
 TRIES = 2  # of a smaller plan: real processes do not do the same twice
 # Faults for which the rules hold in full: of the others a client or a server may see what no door can help.
-KINDS = ("kill", "term", "pause", "bad", "errors_fast", "slow", "replace", "hold", "delay", "lose", "repeat",
-         "reorder", "limit", "cut", "break", "full_disk")
+KINDS = (
+    "kill",
+    "term",
+    "pause",
+    "bad",
+    "errors_fast",
+    "slow",
+    "replace",
+    "hold",
+    "delay",
+    "lose",
+    "repeat",
+    "reorder",
+    "limit",
+    "cut",
+    "break",
+    "full_disk",
+)
 
 
 @dataclass
@@ -39,14 +62,26 @@
 def drawn(chance: random.Random, name: str) -> Plan:
     """A plan by chance; each is one that could be written by hand."""
     fleet = Scenario(
-        name=name, doors=chance.randint(2, MOST_DOORS), length_s=LENGTH_S,
-        servers=Servers(count=chance.randint(2, MOST_SERVERS)), net=Net(zones=chance.randint(1, 2)),
-        demand=Demand(load=(0.2, 0.5)))
+        name=name,
+        doors=chance.randint(2, MOST_DOORS),
+        length_s=LENGTH_S,
+        servers=Servers(count=chance.randint(2, MOST_SERVERS)),
+        net=Net(zones=chance.randint(1, 2)),
+        demand=Demand(load=(0.2, 0.5)),
+    )
     kept = ("submit-record",) if chance.random() < 0.5 else ()
     leased = chance.random() < 0.5
     faults = tuple(draw_fault(chance, bool(kept) or leased) for _ in range(chance.randint(1, MOST_FAULTS)))
-    return Plan(name=name, fleet=fleet, faults=faults, clients=chance.randint(1, 2),
-                state=chance.random() < 0.5, takeover=kept, steward=leased, stewards=chance.randint(1, 3))
+    return Plan(
+        name=name,
+        fleet=fleet,
+        faults=faults,
+        clients=chance.randint(1, 2),
+        state=chance.random() < 0.5,
+        takeover=kept,
+        steward=leased,
+        stewards=chance.randint(1, 3),
+    )
 
 
 def draw_fault(chance: random.Random, steward: bool) -> Fault:
@@ -59,14 +94,23 @@
     elif kind == "full_disk":
         on = chance.choice(("list", *keepers))
     links = (*LINKS, "doors-steward") if steward else LINKS
-    size = {"delay": chance.uniform(1, 200), "limit": chance.uniform(2e4, 1e6),
-            "slow": chance.uniform(1.5, 6)}.get(kind, chance.uniform(0.05, 0.6))
+    size = {
+        "delay": chance.uniform(1, 200),
+        "limit": chance.uniform(2e4, 1e6),
+        "slow": chance.uniform(1.5, 6),
+    }.get(kind, chance.uniform(0.05, 0.6))
     return Fault(
-        kind=kind, at_s=at_s, for_s=for_s, on=on, part=chance.choice((0.3, 0.5, 0.9, 1.0)),
+        kind=kind,
+        at_s=at_s,
+        for_s=for_s,
+        on=on,
+        part=chance.choice((0.3, 0.5, 0.9, 1.0)),
         size=round(size, 3),
         state=chance.choice(("kept", "none", "old")) if on in ("doors", "follower") else "kept",
         link="doors-doors" if kind in ("repeat", "reorder") else chance.choice(links),
-        way=chance.choice(("both", "both", "there", "back")), stagger_s=chance.choice((0.0, 1.0)))
+        way=chance.choice(("both", "both", "there", "back")),
+        stagger_s=chance.choice((0.0, 1.0)),
+    )
 
 
 def smaller(plan: Plan) -> Iterator[Plan]:
@@ -108,8 +152,7 @@
             return plan
 
 
-def soak(seed: int, minutes: float, tree: Tree, out: Path, say: Say,
-         count: int | None = None) -> Found:
+def soak(seed: int, minutes: float, tree: Tree, out: Path, say: Say, count: int | None = None) -> Found:
     """Play random plans for so long, or so many; what breaks a rule is kept in `out`."""
     chance, found, end = random.Random(seed), Found(), time.monotonic() + minutes * 60
 
@@ -130,8 +173,9 @@
             continue
         rule = violations[0].rule
         say(f"{plan.name}: {violations[0].text}; making it small")
-        small = shrink(plan, lambda less, rule=rule: any(
-            one.rule == rule for _ in range(TRIES) for one in broken(less)))
+        small = shrink(
+            plan, lambda less, rule=rule: any(one.rule == rule for _ in range(TRIES) for one in broken(less))
+        )
         out.mkdir(parents=True, exist_ok=True)
         path = out / f"{plan.name}.toml"
         path.write_text(f"# {rule}: {violations[0].text}\n{dump(small)}")
--- a/rig/world.py
+++ b/rig/world.py
@@ -33,8 +33,9 @@
         self.start_us = clock.now
         self.end_us = self.start_us + round(scenario.length_s * S)
         self.streams = {name: Stream(seed, name) for name in ("servers", "clients", "demand", "asks", "work")}
-        self.books = Books(tuple(rule.name for rule in scenario.classes),
-                           tuple(plan.name for plan in scenario.plans))
+        self.books = Books(
+            tuple(rule.name for rule in scenario.classes), tuple(plan.name for plan in scenario.plans)
+        )
         self.traits = Traits(scenario, self.streams["servers"])
         self.plans = [PlanFigures(plan, scenario.stretch, self.streams["demand"]) for plan in scenario.plans]
         self.network = Instant()
@@ -52,32 +53,65 @@
         scenario, prices = self.scenario, self.scenario.prices
         stretch = scenario.stretch * 1000
         return {
-            "me": number, "balancers": scenario.doors, "zone": number % scenario.net.zones,
-            "zones": [hall(zone) for zone in range(scenario.net.zones)], "kinds": ["m1"],
+            "me": number,
+            "balancers": scenario.doors,
+            "zone": number % scenario.net.zones,
+            "zones": [hall(zone) for zone in range(scenario.net.zones)],
+            "kinds": ["m1"],
             "categories": [
-                {"name": rule.name, "on-time-us": round(rule.aim_ms * stretch),
-                 "deadline-us": round(rule.deadline_ms * stretch), "points": rule.worth,
-                 "late-worth": rule.late_worth, "idempotency": EFFECTS[rule.keyed],
-                 "group": "zone" if rule.keyed else "all", "window-us": round(rule.window_ms * stretch)}
-                for rule in scenario.classes],
+                {
+                    "name": rule.name,
+                    "on-time-us": round(rule.aim_ms * stretch),
+                    "deadline-us": round(rule.deadline_ms * stretch),
+                    "points": rule.worth,
+                    "late-worth": rule.late_worth,
+                    "idempotency": EFFECTS[rule.keyed],
+                    "group": "zone" if rule.keyed else "all",
+                    "window-us": round(rule.window_ms * stretch),
+                }
+                for rule in scenario.classes
+            ],
             "plans": [
-                {"name": plan.name, "units-per-s": figures.rate, "burst": figures.burst,
-                 "value-factor": plan.price, "extra-worth": plan.over_worth, "overrun-cost": plan.over_cost,
-                 "never-over-rate": figures.ceiling[0], "hard-burst": figures.ceiling[1],
-                 "hard-slack": figures.ceiling[2] if figures.ceiling[0] else 0.0}
-                for plan, figures in zip(scenario.plans, self.plans, strict=True)],
+                {
+                    "name": plan.name,
+                    "units-per-s": figures.rate,
+                    "burst": figures.burst,
+                    "value-factor": plan.price,
+                    "extra-worth": plan.over_worth,
+                    "overrun-cost": plan.over_cost,
+                    "never-over-rate": figures.ceiling[0],
+                    "hard-burst": figures.ceiling[1],
+                    "hard-slack": figures.ceiling[2] if figures.ceiling[0] else 0.0,
+                }
+                for plan, figures in zip(scenario.plans, self.plans, strict=True)
+            ],
             "ceilings": {
-                "max-attempts": scenario.max_attempts, "conn-idle-us": round(scenario.servers.idle_s * S),
-                "connect-timeout-us": round(scenario.net.connect_timeout_ms * 1000), "retry-after": True,
-                "max-retry-after-us": round(scenario.clients.max_retry_after_ms * 1000), "may-cancel": True,
-                "may-probe": True, "peers": True},
+                "max-attempts": scenario.max_attempts,
+                "conn-idle-us": round(scenario.servers.idle_s * S),
+                "connect-timeout-us": round(scenario.net.connect_timeout_ms * 1000),
+                "retry-after": True,
+                "max-retry-after-us": round(scenario.clients.max_retry_after_ms * 1000),
+                "may-cancel": True,
+                "may-probe": True,
+                "peers": True,
+            },
             "extra": {"mail-per-s": MESSAGES_S},
-            "prices": {"cross-zone": prices.cross_zone, "handshake": prices.handshake, "waste": prices.waste,
-                       "late-fail": prices.late_fail, "peer": prices.peer, "probe": prices.probe},
+            "prices": {
+                "cross-zone": prices.cross_zone,
+                "handshake": prices.handshake,
+                "waste": prices.waste,
+                "late-fail": prices.late_fail,
+                "peer": prices.peer,
+                "probe": prices.probe,
+            },
             "obligations": {
-                "grace-to-answer-us": 8000, "ask-within-us": 10 * S, "cold-from": scenario.cold_from,
-                "warm-within-us": round(scenario.warm_within_s * S), "fall-multiple": scenario.fall_multiple,
-                "fall-us": round(scenario.fall_s * S)},
+                "grace-to-answer-us": 8000,
+                "ask-within-us": 10 * S,
+                "cold-from": scenario.cold_from,
+                "warm-within-us": round(scenario.warm_within_s * S),
+                "fall-multiple": scenario.fall_multiple,
+                "fall-us": round(scenario.fall_s * S),
+            },
         }
 
 
@@ -91,8 +125,14 @@
 
     __slots__ = ("at_us", "cumulative", "customer", "kind", "work_us")
 
-    def __init__(self, at_us: int, customer: Customer, kind: int = 0, work_us: float = 0.0,
-                 cumulative: list[float] | None = None) -> None:
+    def __init__(
+        self,
+        at_us: int,
+        customer: Customer,
+        kind: int = 0,
+        work_us: float = 0.0,
+        cumulative: list[float] | None = None,
+    ) -> None:
         self.at_us, self.customer, self.kind = at_us, customer, kind
         self.work_us, self.cumulative = work_us, cumulative
 
@@ -132,5 +172,3 @@
             world.clock.at(round((fault.at_s + fault.for_s) * S), load.change, 1.0)
     world.clock.run(world.end_us)
     return sorted(load.asked, key=lambda asked: asked.at_us)
-
-
--- a/roster/__main__.py
+++ b/roster/__main__.py
@@ -25,8 +25,13 @@
 
 async def serve(service: Callable[[], Reader], host: str, port: int) -> None:
     """Serve until SIGTERM or SIGINT; then watches end, and all is synced."""
-    runner = web.AppRunner(service().app, access_log=None, shutdown_timeout=SHUTDOWN_S,
-                           max_line_size=MOST_HEADERS, max_field_size=MOST_HEADERS)
+    runner = web.AppRunner(
+        service().app,
+        access_log=None,
+        shutdown_timeout=SHUTDOWN_S,
+        max_line_size=MOST_HEADERS,
+        max_field_size=MOST_HEADERS,
+    )
     await runner.setup()
     try:
         site = web.TCPSite(runner, host, port)
@@ -49,13 +54,24 @@
 
 
 @click.command()
-@click.option("--data", type=click.Path(file_okay=False, path_type=Path),
-              help="The folder that holds the list.")
+@click.option(
+    "--data", type=click.Path(file_okay=False, path_type=Path), help="The folder that holds the list."
+)
 @click.option("--follow", metavar="HOST:PORT", help="Serve the list of another, for reading only.")
-@click.option("--listen", default="127.0.0.1:8500", show_default=True, metavar="HOST:PORT",
-              help="Port 0: one that the system chooses.")
-@click.option("--fill", type=click.FloatRange(0, 600), default=FILL_S, show_default=True,
-              help="Seconds in which a list that began with nothing is filled, and not told.")
+@click.option(
+    "--listen",
+    default="127.0.0.1:8500",
+    show_default=True,
+    metavar="HOST:PORT",
+    help="Port 0: one that the system chooses.",
+)
+@click.option(
+    "--fill",
+    type=click.FloatRange(0, 600),
+    default=FILL_S,
+    show_default=True,
+    help="Seconds in which a list that began with nothing is filled, and not told.",
+)
 def main(data: Path | None, follow: str | None, listen: str, fill: float) -> None:
     """The list of scan servers: registered with leases, read whole or by a watch."""
     host, port = split(listen)
--- a/roster/follow.py
+++ b/roster/follow.py
@@ -104,8 +104,15 @@
 def read_entry(entry: object, generation: int) -> Instance:
     if not isinstance(entry, dict) or entry.get("lifecycle") not in (SERVING, DRAINING, DELETED):
         raise RefusedError("an entry makes no sense")
-    names = {"instanceId": "id", "hostPort": "address", "zone": "zone", "machineType": "machine_type",
-             "cell": "cell", "weight": "weight", "startedAtMs": "started_ms"}
+    names = {
+        "instanceId": "id",
+        "hostPort": "address",
+        "zone": "zone",
+        "machineType": "machine_type",
+        "cell": "cell",
+        "weight": "weight",
+        "startedAtMs": "started_ms",
+    }
     instance = read_instance({mine: entry[theirs] for theirs, mine in names.items() if theirs in entry})
     return replace(instance, lifecycle=entry["lifecycle"], generation=generation)
 
@@ -146,8 +153,10 @@
     async def follow(self) -> None:
         """Watch the other for good; a watch that ends begins again where it ended."""
         tries, later_s = 0, 0.0
-        async with ClientSession(read_bufsize=LINE_BYTES, timeout=ClientTimeout(
-                total=None, sock_connect=CONNECT_S, sock_read=SILENT_S)) as session:
+        async with ClientSession(
+            read_bufsize=LINE_BYTES,
+            timeout=ClientTimeout(total=None, sock_connect=CONNECT_S, sock_read=SILENT_S),
+        ) as session:
             while True:
                 before, later_s = self.heard_ms, 0.0
                 try:
--- a/roster/log.py
+++ b/roster/log.py
@@ -44,8 +44,7 @@
             try:
                 instance = Instance(**value)
             except TypeError as error:
-                raise DamageError(
-                    f"{self.records.path} holds a record that is no change: {error}") from error
+                raise DamageError(f"{self.records.path} holds a record that is no change: {error}") from error
             if instance.generation > store.generation:  # older ones: a crash came between snapshot and log
                 store.apply(instance)
         if not self.snapshot_path.exists():
--- a/roster/registration.py
+++ b/roster/registration.py
@@ -57,7 +57,8 @@
         """Tell that nothing new is wanted; by what the service says it has, where that has changed."""
         for _ in range(TRIES):
             status, _ = await self.call_until_heard(
-                "PATCH", "", {"generation": self.generation, "lifecycle": "DRAINING"}, TRIES, (200, 404, 409))
+                "PATCH", "", {"generation": self.generation, "lifecycle": "DRAINING"}, TRIES, (200, 404, 409)
+            )
             if status != 409:
                 return
             await self.call_until_heard("POST", "/renew", None, TRIES)  # learns the generation
@@ -98,7 +99,11 @@
                 log.error("the list service refuses: %s", error)
 
     async def call_until_heard(
-        self, method: str, path: str, values: Mapping[str, Any] | None, tries: int = 0,
+        self,
+        method: str,
+        path: str,
+        values: Mapping[str, Any] | None,
+        tries: int = 0,
         allowed: tuple[int, ...] = (200,),
     ) -> tuple[int, dict[str, Any]]:
         """Call until there is an answer, so many times (0: for good). Another than those allowed is a
--- a/roster/server.py
+++ b/roster/server.py
@@ -171,8 +171,15 @@
         return response
 
     async def status(self, _: web.Request) -> web.Response:
-        return answer(200, {**self.described(), "generation": self.held.generation, "age_ms": self.age_ms(),
-                            "watchers": self.watchers})
+        return answer(
+            200,
+            {
+                **self.described(),
+                "generation": self.held.generation,
+                "age_ms": self.age_ms(),
+                "watchers": self.watchers,
+            },
+        )
 
     def described(self) -> dict[str, Any]:
         return {}
@@ -189,10 +196,14 @@
         self.store: Store = self.log.open(time.time_ns() // 1_000_000, now_ms())
         self.filled_ms = now_ms() + round(fill_s * 1000)
         super().__init__(self.store)
-        self.app.add_routes([
-            web.put(WRITE_PATH, self.register), web.post(f"{WRITE_PATH}/renew", self.renew),
-            web.patch(WRITE_PATH, self.update), web.delete(WRITE_PATH, self.leave),
-        ])
+        self.app.add_routes(
+            [
+                web.put(WRITE_PATH, self.register),
+                web.post(f"{WRITE_PATH}/renew", self.renew),
+                web.patch(WRITE_PATH, self.update),
+                web.delete(WRITE_PATH, self.leave),
+            ]
+        )
         self.app.cleanup_ctx.append(self.running)
 
     def ready(self) -> None:
@@ -200,7 +211,8 @@
             left_ms = self.filled_ms - now_ms()
             if left_ms > 0:
                 raise UnavailableError(
-                    f"the list began with nothing, and is told in {left_ms / 1000:.1f} s", left_ms / 1000)
+                    f"the list began with nothing, and is told in {left_ms / 1000:.1f} s", left_ms / 1000
+                )
             self.log.filled()
 
     async def running(self, _: web.Application) -> Any:  # noqa: ANN401 - aiohttp's context
--- a/roster/store.py
+++ b/roster/store.py
@@ -62,9 +62,16 @@
 
     def shown(self) -> dict[str, Any]:
         """In discovery's form."""
-        return {"instanceId": self.id, "hostPort": self.address, "zone": self.zone,
-                "machineType": self.machine_type, "cell": self.cell, "lifecycle": self.lifecycle,
-                "weight": self.weight, "startedAtMs": self.started_ms}
+        return {
+            "instanceId": self.id,
+            "hostPort": self.address,
+            "zone": self.zone,
+            "machineType": self.machine_type,
+            "cell": self.cell,
+            "lifecycle": self.lifecycle,
+            "weight": self.weight,
+            "startedAtMs": self.started_ms,
+        }
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,8 +83,11 @@
     instances: tuple[Instance, ...]
 
     def shown(self) -> dict[str, Any]:
-        return {"generation": self.generation, "reset": self.reset,
-                "instances": [instance.shown() for instance in self.instances]}
+        return {
+            "generation": self.generation,
+            "reset": self.reset,
+            "instances": [instance.shown() for instance in self.instances],
+        }
 
 
 def read_instance(values: Mapping[str, Any]) -> Instance:
@@ -90,15 +100,22 @@
     for key in ("id", "zone", "machine_type"):
         if not isinstance(values[key], str) or not TEXT.fullmatch(values[key]):
             raise RefusedError(
-                f"{key} is not 1 to {MOST_TEXT} letters, digits, dots, colons, dashes or underscores")
+                f"{key} is not 1 to {MOST_TEXT} letters, digits, dots, colons, dashes or underscores"
+            )
     found = ADDRESS.fullmatch(values["address"]) if isinstance(values["address"], str) else None
     if not found or any(int(part) > 255 for part in found[1].split(".")) or not 0 < int(found[2]) < 65536:
         raise RefusedError("address is not an IPv4 address and a port, as in 127.0.0.1:6379")
     return Instance(
-        id=values["id"], address=values["address"], zone=values["zone"], machine_type=values["machine_type"],
-        cell=whole(values, "cell", 0, 0, 1_000_000), weight=number(values, "weight", 1.0, 1e6),
-        lifecycle=SERVING, started_ms=whole(values, "started_ms", 0, 0, 100_000_000_000_000),
-        lease_ms=whole(values, "lease_ms", 10_000, LEAST_LEASE_MS, MOST_LEASE_MS))
+        id=values["id"],
+        address=values["address"],
+        zone=values["zone"],
+        machine_type=values["machine_type"],
+        cell=whole(values, "cell", 0, 0, 1_000_000),
+        weight=number(values, "weight", 1.0, 1e6),
+        lifecycle=SERVING,
+        started_ms=whole(values, "started_ms", 0, 0, 100_000_000_000_000),
+        lease_ms=whole(values, "lease_ms", 10_000, LEAST_LEASE_MS, MOST_LEASE_MS),
+    )
 
 
 def whole(values: Mapping[str, Any], key: str, default: int, least: int, most: int) -> int:
@@ -162,10 +179,14 @@
             raise RefusedError(f"lifecycle is not {SERVING} or {DRAINING}")
         if instance.generation != generation:
             raise ConflictError(
-                f"{name} has changed since generation {generation}: it is at {instance.generation}")
+                f"{name} has changed since generation {generation}: it is at {instance.generation}"
+            )
         self.renew(name, now_ms)
-        return instance if instance.lifecycle == lifecycle else self.change(
-            replace(instance, lifecycle=lifecycle))[0]
+        return (
+            instance
+            if instance.lifecycle == lifecycle
+            else self.change(replace(instance, lifecycle=lifecycle))[0]
+        )
 
     def leave(self, name: str) -> Instance:
         """It goes by its own word, which holds at once."""
@@ -181,8 +202,10 @@
         all of it. What cannot be kept is a RefusedError, and nothing has changed."""
         if self.generation + len(instances) > MOST_GENERATION:
             raise RefusedError("the generations of this history are used up")
-        changes = [replace(instance, generation=self.generation + number)
-                   for number, instance in enumerate(instances, 1)]
+        changes = [
+            replace(instance, generation=self.generation + number)
+            for number, instance in enumerate(instances, 1)
+        ]
         self.keep(changes)
         for change in changes:
             self.apply(change)
@@ -222,8 +245,10 @@
             fresh = [name for name, since in self.lapsed.items() if now_ms - since <= MASS_WINDOW_MS]
             if any(self.lapsed[name] == now_ms for name in fresh):  # not those that were kept before
                 self.kept_until = now_ms + GRACE_MS
-                self.warn(f"{recent} of {len(self.instances)} leases lapsed in {MASS_WINDOW_MS // 1000} s: "
-                          f"kept for {GRACE_MS // 1000} s, as the service may have been cut off")
+                self.warn(
+                    f"{recent} of {len(self.instances)} leases lapsed in {MASS_WINDOW_MS // 1000} s: "
+                    f"kept for {GRACE_MS // 1000} s, as the service may have been cut off"
+                )
         if now_ms < self.kept_until:
             return []
         # A mass is known as one only when most have lapsed: each stays for the window before it goes.
--- a/steward/__main__.py
+++ b/steward/__main__.py
@@ -92,14 +92,25 @@
 
 
 @cli.command("serve")
-@click.option("--data", type=click.Path(file_okay=False, path_type=Path), required=True,
-              help="The folder of its log; one process has it at a time.")
+@click.option(
+    "--data",
+    type=click.Path(file_okay=False, path_type=Path),
+    required=True,
+    help="The folder of its log; one process has it at a time.",
+)
 @click.option("--config", "config_path", type=click.Path(dir_okay=False, path_type=Path), required=True)
-@click.option("--secret", type=click.Path(dir_okay=False, path_type=Path), required=True,
-              help="A file with the secret that steward and doors share.")
+@click.option(
+    "--secret",
+    type=click.Path(dir_okay=False, path_type=Path),
+    required=True,
+    help="A file with the secret that steward and doors share.",
+)
 @click.option("--listen", default="127.0.0.1:8600", show_default=True, metavar="HOST:PORT")
-@click.option("--standby", is_flag=True,
-              help="Wait while another process has the folder, and take over when that ends or hangs.")
+@click.option(
+    "--standby",
+    is_flag=True,
+    help="Wait while another process has the folder, and take over when that ends or hangs.",
+)
 def serve_(data: Path, config_path: Path, secret: Path, listen: str, standby: bool) -> None:
     """Serve the budgets of a configuration."""
     host, _, port = listen.rpartition(":")
@@ -153,8 +164,13 @@
 @click.option("--doors", type=click.IntRange(1, 4), default=3, show_default=True)
 @click.option("--budgets", type=click.IntRange(1, 2), default=2, show_default=True)
 @click.option("--depth", type=click.IntRange(1, 12), default=5, show_default=True, help="Events.")
-@click.option("--walks", type=click.IntRange(0, 10**6), default=2000, show_default=True,
-              help="Random ways of 40 events besides, as many by messages alone, and by openings.")
+@click.option(
+    "--walks",
+    type=click.IntRange(0, 10**6),
+    default=2000,
+    show_default=True,
+    help="Random ways of 40 events besides, as many by messages alone, and by openings.",
+)
 @click.option("--planted", is_flag=True, help="Plant each fault, and tell how it is found.")
 @click.option("--seed", type=click.IntRange(0, 2**53), default=1, show_default=True)
 def check_(doors: int, budgets: int, depth: int, walks: int, planted: bool, seed: int) -> None:
@@ -176,8 +192,11 @@
         began = time.process_time()
         found = explore(Kind(), doors, budgets, depth, held)
         where = "the first door holds all" if held else "nobody holds anything"
-        told(f"{doors} doors, {budgets} budgets, {where}: {found.states} states to depth {found.depth}, "
-             f"{time.process_time() - began:.1f} s", found)
+        told(
+            f"{doors} doors, {budgets} budgets, {where}: {found.states} states to depth {found.depth}, "
+            f"{time.process_time() - began:.1f} s",
+            found,
+        )
         wrong = wrong or bool(found.broken)
     if walks:
         found = stray_all(Kind(), doors, budgets, walks, 40, seed)
@@ -187,8 +206,11 @@
         began = time.process_time()
         found = check_work.explore(check_work.Kind(), doors, depth, held)
         where = "the first door holds all" if held else "nobody has anything"
-        told(f"work in hand, {doors} doors, {where}: {found.states} states to depth {found.depth}, "
-             f"{time.process_time() - began:.1f} s", found)
+        told(
+            f"work in hand, {doors} doors, {where}: {found.states} states to depth {found.depth}, "
+            f"{time.process_time() - began:.1f} s",
+            found,
+        )
         wrong = wrong or bool(found.broken)
     if walks:
         found = check_work.wander(check_work.Kind(), doors, 2 * walks, 30, seed)
--- a/steward/book.py
+++ b/steward/book.py
@@ -67,8 +67,9 @@
         data = path.read_bytes() if path.exists() else b""
         values, end = read_log(data, str(path))
         if end < len(data):
-            log.warning("%s: %d bytes of a change that was not completed are passed over", path,
-                        len(data) - end)
+            log.warning(
+                "%s: %d bytes of a change that was not completed are passed over", path, len(data) - end
+            )
         kept = read_whole(before / "snapshot")
         if kept is None and values:
             raise DamageError(f"{before / 'snapshot'} is missing, but there is a log")
@@ -87,8 +88,7 @@
         kept, values = self.read()
         fresh = time.time_ns() // 1_000_000 * PER_MS
         if kept is None:
-            return (State(fresh, now, MOST_LEASE_MS, config.lease_ms),
-                    Work(fresh, now, config.work_lease_ms))
+            return (State(fresh, now, MOST_LEASE_MS, config.lease_ms), Work(fresh, now, config.work_lease_ms))
         try:
             state = State(int(kept["fence"]), now, 0, config.lease_ms)
             same = kept["boot"] == self.boot  # else the clock is another
@@ -104,7 +104,8 @@
                     strange += 1
         except (KeyError, TypeError, ValueError) as error:
             raise DamageError(
-                f"{self.tenure.folder} holds a record that is none of ours: {error!r}") from error
+                f"{self.tenure.folder} holds a record that is none of ours: {error!r}"
+            ) from error
         if strange:  # the machine has started again since, and every door with it: all of that is over
             log.warning("%d records of work in hand are of another boot, and are passed over", strange)
         work.taken_up(now)
@@ -122,8 +123,15 @@
         state.fence = max(state.fence, one.fence)
 
     def record(self, budget: str, holder: str, one: Issued) -> dict[str, object]:
-        return {"budget": budget, "holder": holder, "fence": one.fence, "part": one.part, "units": one.units,
-                "until": one.until_ms, "boot": self.boot}
+        return {
+            "budget": budget,
+            "holder": holder,
+            "fence": one.fence,
+            "part": one.part,
+            "units": one.units,
+            "until": one.until_ms,
+            "boot": self.boot,
+        }
 
     def work_record(self, record: Record) -> dict[str, object]:
         return {**msgspec.to_builtins(record), "boot": self.boot}
@@ -141,9 +149,13 @@
     def image(self, state: State, work: Work) -> dict[str, object]:
         """All that may be believed in or is in hand."""
         return {
-            "fence": state.fence, "boot": self.boot, "quiet_until_ms": state.quiet_until_ms,
+            "fence": state.fence,
+            "boot": self.boot,
+            "quiet_until_ms": state.quiet_until_ms,
             "issued": [self.record(*one) for one in state.issued()],
-            "work_fence": work.fence, "work": [self.work_record(record) for record in work.kept()]}
+            "work_fence": work.fence,
+            "work": [self.work_record(record) for record in work.kept()],
+        }
 
     def put(self, image: dict[str, object]) -> None:
         """Put all of it into one file; then the log is emptied."""
--- a/steward/check.py
+++ b/steward/check.py
@@ -90,7 +90,8 @@
     def ask(self, now_ms: int) -> Ask:
         ask = super().ask(now_ms)
         return msgspec.structs.replace(
-            ask, wants=tuple(msgspec.structs.replace(want, used=0) for want in ask.wants))
+            ask, wants=tuple(msgspec.structs.replace(want, used=0) for want in ask.wants)
+        )
 
     def agrees(self, part: Part, amount: int, now_ms: int) -> bool:
         return True
@@ -138,12 +139,23 @@
     asks: dict[int, int] = field(default_factory=dict)  # by holder
 
     def copy(self) -> World:
-        return replace(self, steward=copy_state(self.steward), asks=dict(self.asks),
-                       holders=[copy_holder(one) for one in self.holders])
+        return replace(
+            self,
+            steward=copy_state(self.steward),
+            asks=dict(self.asks),
+            holders=[copy_holder(one) for one in self.holders],
+        )
 
     def key(self) -> tuple[object, ...]:
-        return (self.now_ms, self.spent, self.losses, self.passed, key_of_state(self.steward),
-                tuple(map(key_of_holder, self.holders)), frozenset(self.messages))
+        return (
+            self.now_ms,
+            self.spent,
+            self.losses,
+            self.passed,
+            key_of_state(self.steward),
+            tuple(map(key_of_holder, self.holders)),
+            frozenset(self.messages),
+        )
 
 
 def copy_state(state: Steward) -> Steward:
@@ -151,19 +163,36 @@
     found.fence, found.lease_ms, found.quiet_until_ms = state.fence, state.lease_ms, state.quiet_until_ms
     found.serials = dict(state.serials)
     found.budgets = {
-        name: Budget(one.terms, {who: Holding(held.issued, held.demand, held.acked)
-                                 for who, held in one.holdings.items()},
-                     one.pool_thousandths, one.pool_at_ms, one.turn)
-        for name, one in state.budgets.items()}
+        name: Budget(
+            one.terms,
+            {who: Holding(held.issued, held.demand, held.acked) for who, held in one.holdings.items()},
+            one.pool_thousandths,
+            one.pool_at_ms,
+            one.turn,
+        )
+        for name, one in state.budgets.items()
+    }
     return found
 
 
 def key_of_state(state: Steward) -> tuple[object, ...]:
-    return (state.fence, state.quiet_until_ms, tuple(sorted(state.serials.items())), tuple(
-        (name, one.pool_thousandths, one.pool_at_ms, one.turn, tuple(
-            (who, held.issued, held.demand, held.acked)
-            for who, held in sorted(one.holdings.items())))
-        for name, one in state.budgets.items()))
+    return (
+        state.fence,
+        state.quiet_until_ms,
+        tuple(sorted(state.serials.items())),
+        tuple(
+            (
+                name,
+                one.pool_thousandths,
+                one.pool_at_ms,
+                one.turn,
+                tuple(
+                    (who, held.issued, held.demand, held.acked) for who, held in sorted(one.holdings.items())
+                ),
+            )
+            for name, one in state.budgets.items()
+        ),
+    )
 
 
 def copy_holder(holder: Holder) -> Holder:
@@ -175,10 +204,25 @@
 
 
 def key_of_holder(holder: Holder) -> tuple[object, ...]:
-    return (holder.door, holder.mark, holder.serial, tuple(holder.asked_ms.items()), tuple(
-        (name, part.part, part.fence, part.until_ms, part.level_thousandths, part.level_at_ms, part.back,
-         part.used)
-        for name, part in holder.parts.items()))
+    return (
+        holder.door,
+        holder.mark,
+        holder.serial,
+        tuple(holder.asked_ms.items()),
+        tuple(
+            (
+                name,
+                part.part,
+                part.fence,
+                part.until_ms,
+                part.level_thousandths,
+                part.level_at_ms,
+                part.back,
+                part.used,
+            )
+            for name, part in holder.parts.items()
+        ),
+    )
 
 
 def budgets(count: int) -> dict[str, Terms]:
@@ -213,6 +257,7 @@
 
 def steps(world: World) -> Iterator[tuple[str, Callable[[], World]]]:
     """Every event that may come next, in words, and what makes the state that it leads to."""
+
     def by(change: Callable[..., None], *values: object) -> Callable[[], World]:
         return lambda: changed(world, change, *values)
 
@@ -233,12 +278,16 @@
         if isinstance(message, Ask):
             yield f"ask {message.serial} of {who} arrives", by(arrive, message)
             if not world.passed:
-                yield f"another steward takes over in the middle of ask {message.serial} of {who}", by(
-                    pass_over, message)
+                yield (
+                    f"another steward takes over in the middle of ask {message.serial} of {who}",
+                    by(pass_over, message),
+                )
             continue
         for number, holder in enumerate(world.holders):
-            if ((holder.door, holder.mark) == (message.door, message.mark)
-                    and message.serial in holder.asked_ms):
+            if (holder.door, holder.mark) == (
+                message.door,
+                message.mark,
+            ) and message.serial in holder.asked_ms:
                 yield f"answer {message.serial} reaches {who}", by(answered, number, message)
     for door in range(world.doors):
         if sum(one.door == door for one in world.holders) < MOST_STARTS:
@@ -343,8 +392,12 @@
         held = sum(holder.held(name, world.now_ms) - own for holder in world.holders) + world.doors * own
         if held > parted(budget.terms) + world.doors * own:
             return f"{held} of '{name}' is held, {parted(budget.terms)} is divided beside the floors"
-    open_now = sum(part.used for holder in world.holders
-                   for part in [holder.parts.get("open")] if part and world.now_ms < part.until_ms)
+    open_now = sum(
+        part.used
+        for holder in world.holders
+        for part in [holder.parts.get("open")]
+        if part and world.now_ms < part.until_ms
+    )
     if open_now > granted(COUNT.whole):
         return f"{open_now} are open, {granted(COUNT.whole)} are divided"
     came = world.credit + RATE.whole * (world.now_ms - world.began_ms) // 1000
@@ -356,7 +409,9 @@
     most = 1000 * RATE.burst * (granted(RATE.whole) + len(world.holders) * floor(RATE.whole, world.doors))
     at_once = pooled_at_once(world) + sum(
         min(part.level_thousandths, holder.most_thousandths(part, world.now_ms))
-        for holder in world.holders for part in [holder.parts["rate"]])
+        for holder in world.holders
+        for part in [holder.parts["rate"]]
+    )
     if at_once * RATE.whole > most:
         return f"{at_once / 1000:g} units could be spent at once, {most / RATE.whole / 1000:g} at most"
     return ""
@@ -398,6 +453,7 @@
 ) -> Outcome:
     """Random ways, deeper than all states can be looked at; each from one of the first states. With `only`,
     by events alone that have one of these words: what needs many asks is hardly met among all others."""
+
     def first(number: int) -> World:
         return begin(kind, doors, count, number % 2 == 0)
 
--- a/steward/check_work.py
+++ b/steward/check_work.py
@@ -42,8 +42,9 @@
     def act(self, owner: str, op: object, now_ms: int) -> Told:
         intent = self.intents.get(op.name)
         if intent is not None and not isinstance(op, Begin):
-            op = type(op)(**{**{name: getattr(op, name) for name in op.__struct_fields__},
-                             "fence": intent.fence})
+            op = type(op)(
+                **{**{name: getattr(op, name) for name in op.__struct_fields__}, "fence": intent.fence}
+            )
             intent.owner = intent.owner or owner
             owner = intent.owner
         return super().act(owner, op, now_ms)
@@ -132,17 +133,24 @@
         return found
 
     def key(self) -> object:
-        return (self.now_ms, tuple(sorted(self.ran.items())), self.answered,
-                frozenset(map(repr, self.messages)), repr(sorted(self.work.intents.items())),
-                repr(sorted(self.work.members.items())), repr(sorted(self.work.marks.items())),
-                repr([(door.alive, door.hand.__dict__, sorted(door.jobs.items())) for door in self.doors]))
+        return (
+            self.now_ms,
+            tuple(sorted(self.ran.items())),
+            self.answered,
+            frozenset(map(repr, self.messages)),
+            repr(sorted(self.work.intents.items())),
+            repr(sorted(self.work.members.items())),
+            repr(sorted(self.work.marks.items())),
+            repr([(door.alive, door.hand.__dict__, sorted(door.jobs.items())) for door in self.doors]),
+        )
 
 
 def copy_work(work: Work) -> Work:
     found = copy.copy(work)
     found.intents = {name: copy.copy(intent) for name, intent in work.intents.items()}
-    found.members = {name: replace(member, handed=dict(member.handed))
-                     for name, member in work.members.items()}
+    found.members = {
+        name: replace(member, handed=dict(member.handed)) for name, member in work.members.items()
+    }
     found.marks, found.of_customer, found.counts = dict(work.marks), dict(work.of_customer), dict(work.counts)
     found.records = []
     return found
@@ -171,8 +179,20 @@
 def ask_for(door: Door, name: str, place: str, serial: int) -> None:
     """A client asks a door for a piece of work."""
     door.jobs[name] = Job(place=place, told="begun")
-    door.hand.add(Begin(name=name, id=f"{name}/{serial}", digest="d", customer="c", effect=NAMES[name],
-                        left_ms=LEFT_MS, window_ms=WINDOW_MS, request=b"r", server=f"s-{place}", place=place))
+    door.hand.add(
+        Begin(
+            name=name,
+            id=f"{name}/{serial}",
+            digest="d",
+            customer="c",
+            effect=NAMES[name],
+            left_ms=LEFT_MS,
+            window_ms=WINDOW_MS,
+            request=b"r",
+            server=f"s-{place}",
+            place=place,
+        )
+    )
 
 
 def serve(world: World, ask: WorkAsk) -> WorkAnswer:
@@ -217,8 +237,9 @@
 def again(door: Door, name: str, job: Job, place: str, unrun: bool) -> None:
     """Another attempt is told of before it is made."""
     job.number, job.place, job.told = job.number + 1, place, "begun"
-    door.hand.add(Try(name=name, fence=job.fence, number=job.number, server=f"s-{place}", place=place,
-                      unrun=unrun))
+    door.hand.add(
+        Try(name=name, fence=job.fence, number=job.number, server=f"s-{place}", place=place, unrun=unrun)
+    )
 
 
 def lapse(world: World, door: Door) -> None:
@@ -237,6 +258,7 @@
             found = world.copy()
             act(found)
             return found
+
         return make
 
     for wait in (SECOND_MS, LEASE_MS):
@@ -269,16 +291,21 @@
     hall = HALLS[door.hand.door % 2]
     for name in NAMES:
         if name not in door.jobs and name not in world.answered:
-            yield (f"a client asks {who} for the {name} work",
-                   lambda found, name=name: ask_for(found.doors[number], name, hall, number))
+            yield (
+                f"a client asks {who} for the {name} work",
+                lambda found, name=name: ask_for(found.doors[number], name, hall, number),
+            )
     if door.hand.serial <= MOST_ASKS:
         yield f"{who} asks", lambda found: ask(found, found.doors[number])
         yield f"{who} asks and is answered", lambda found: round_trip(found, found.doors[number])
     for name, job in door.jobs.items():
         for event, act in of_job(world, door, name, job):
-            yield (f"{who} {event}",
-                   lambda found, act=act, name=name: act(
-                       found, found.doors[number], found.doors[number].jobs[name]))
+            yield (
+                f"{who} {event}",
+                lambda found, act=act, name=name: act(
+                    found, found.doors[number], found.doors[number].jobs[name]
+                ),
+            )
     if sum(one.hand.door == door.hand.door for one in world.doors) < MOST_STARTS:
         yield f"{who} is killed, and starts again", lambda found: restart(found, found.doors[number])
 
@@ -352,15 +379,19 @@
 
 def of_message(world: World, message: object) -> Iterator[tuple[str, Act]]:
     if isinstance(message, WorkAsk):
-        yield (f"ask {message.serial} of door {message.door} (start {message.mark}) arrives",
-               lambda found: reach(found, message))
+        yield (
+            f"ask {message.serial} of door {message.door} (start {message.mark}) arrives",
+            lambda found: reach(found, message),
+        )
         return
     for number, door in enumerate(world.doors):
         out = door.hand.asked
         same = (door.hand.door, door.hand.mark) == (message.door, message.mark)
         if door.alive and same and out and out[0] == message.serial:
-            yield (f"answer {message.serial} reaches door {message.door} (start {message.mark})",
-                   lambda found, number=number: be_answered(found, found.doors[number], message))
+            yield (
+                f"answer {message.serial} reaches door {message.door} (start {message.mark})",
+                lambda found, number=number: be_answered(found, found.doors[number], message),
+            )
 
 
 def reach(world: World, message: WorkAsk) -> None:
@@ -390,9 +421,14 @@
     if len(set(world.ran.get("keyed", ()))) > 1:
         return "the keyed work has run in two halls"
     for name in NAMES:
-        free = [door for door in world.doors if door.alive and name in door.jobs
-                and door.jobs[name].told == "tried"
-                and door.hand.holds(name, door.jobs[name].fence, world.now_ms)]
+        free = [
+            door
+            for door in world.doors
+            if door.alive
+            and name in door.jobs
+            and door.jobs[name].told == "tried"
+            and door.hand.holds(name, door.jobs[name].fence, world.now_ms)
+        ]
         if len(free) > 1:
             return f"{len(free)} doors may write the {name} work"
     for name in world.answered:
@@ -410,5 +446,3 @@
 def wander(kind: Kind, doors: int, walks: int, length: int, seed: int) -> Outcome:
     """Random ways, each from one of the first states."""
     return stray(lambda number: begin(kind, doors, number % 2 == 0), steps, broken, walks, length, seed)
-
-
--- a/steward/client.py
+++ b/steward/client.py
@@ -49,10 +49,14 @@
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(*self.address)
         host = "{}:{}".format(*self.address)
-        head = h11.Request(method="POST", target=PATH, headers=[
-            ("Host", host), ("Content-Length", str(len(body))), (SIGNATURE, signature)])
-        self.writer.write(self.http.send(head) + self.http.send(h11.Data(data=body))
-                          + self.http.send(h11.EndOfMessage()))
+        head = h11.Request(
+            method="POST",
+            target=PATH,
+            headers=[("Host", host), ("Content-Length", str(len(body))), (SIGNATURE, signature)],
+        )
+        self.writer.write(
+            self.http.send(head) + self.http.send(h11.Data(data=body)) + self.http.send(h11.EndOfMessage())
+        )
         status, signed, found = 0, "", b""
         while not isinstance(event := self.http.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
@@ -89,8 +93,11 @@
         """The answer's body, in msgpack; where nothing can be kept, a TurnedAwayError."""
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(*self.address)
-            head = h11.Request(method="POST", target=WORK_PATH, headers=[
-                ("Host", "{}:{}".format(*self.address)), ("Transfer-Encoding", "chunked")])
+            head = h11.Request(
+                method="POST",
+                target=WORK_PATH,
+                headers=[("Host", "{}:{}".format(*self.address)), ("Transfer-Encoding", "chunked")],
+            )
             self.writer.write(self.http.send(head))
         self.writer.write(self.http.send(h11.Data(data=frame(self.secret, msgspec.msgpack.encode(ask)))))
         while (found := self.frames.next()) is None:
@@ -121,8 +128,14 @@
     """Keeps a holder's grants alive for as long as it runs."""
 
     def __init__(
-        self, holder: Holder, addresses: tuple[Address, ...], secret: bytes, lease_ms: int,
-        chance: random.Random, prepare: Callable[[], None], renewed: Callable[[], None],
+        self,
+        holder: Holder,
+        addresses: tuple[Address, ...],
+        secret: bytes,
+        lease_ms: int,
+        chance: random.Random,
+        prepare: Callable[[], None],
+        renewed: Callable[[], None],
     ) -> None:
         """`prepare` is called before each ask, to tell demand; `renewed` when an answer was taken over."""
         self.holder, self.addresses, self.secret, self.lease_ms = holder, addresses, secret, lease_ms
@@ -140,8 +153,11 @@
             while True:
                 good = await self.once(part_s)
                 # Where one fails the next is tried soon, and not by all at the same moment.
-                wait = self.random.uniform(1 - JITTER, 1) * part_s if good else self.random.uniform(
-                    0, part_s / 2)
+                wait = (
+                    self.random.uniform(1 - JITTER, 1) * part_s
+                    if good
+                    else self.random.uniform(0, part_s / 2)
+                )
                 await self.rest(wait)
         finally:
             self.drop()
@@ -166,8 +182,11 @@
             return True
         except (OSError, TimeoutError, CallError, h11.ProtocolError, msgspec.MsgspecError) as error:
             self.failures += 1
-            log.warning("no renewal by the steward at %s:%d: %s", *self.addresses[self.at],
-                        str(error) or "it does not answer")
+            log.warning(
+                "no renewal by the steward at %s:%d: %s",
+                *self.addresses[self.at],
+                str(error) or "it does not answer",
+            )
             self.drop()
             self.at = (self.at + 1) % len(self.addresses)
             return False
--- a/steward/hand.py
+++ b/steward/hand.py
@@ -81,8 +81,14 @@
         count = self.fitting()
         ops, self.queue = self.queue[:count], self.queue[count:]
         self.asked = self.serial, now_ms, ops
-        return WorkAsk(door=self.door, mark=self.mark, serial=self.serial, ops=tuple(ops),
-                       took=tuple(self.took), leaving=self.leaving)
+        return WorkAsk(
+            door=self.door,
+            mark=self.mark,
+            serial=self.serial,
+            ops=tuple(ops),
+            took=tuple(self.took),
+            leaving=self.leaving,
+        )
 
     def fitting(self) -> int:
         """How many of the ops that wait go into one ask: one at least."""
--- a/steward/holder.py
+++ b/steward/holder.py
@@ -59,9 +59,17 @@
         self.asked_ms[self.serial] = now_ms
         for serial in [serial for serial in self.asked_ms if serial <= self.serial - MOST_ASKS]:
             del self.asked_ms[serial]
-        wants = tuple(Want(budget=name, demand=part.demand, fence=part.fence, back=part.back,
-                           need=part.need, used=part.used)
-                      for name, part in self.parts.items())
+        wants = tuple(
+            Want(
+                budget=name,
+                demand=part.demand,
+                fence=part.fence,
+                back=part.back,
+                need=part.need,
+                used=part.used,
+            )
+            for name, part in self.parts.items()
+        )
         return Ask(door=self.door, mark=self.mark, serial=self.serial, wants=wants)
 
     def answered(self, answer: Answer, now_ms: int) -> bool:
--- a/steward/server.py
+++ b/steward/server.py
@@ -73,8 +73,14 @@
         self.woken, self.lost = asyncio.Event(), lost
         self.commits = self.asks = self.streams = 0
         self.app = web.Application(middlewares=[refusals], client_max_size=MOST_BODY)
-        self.app.add_routes([web.post(PATH, self.renew), web.post(WORK_PATH, self.do_work),
-                             web.get("/status", self.status), web.get("/parked", self.parked)])
+        self.app.add_routes(
+            [
+                web.post(PATH, self.renew),
+                web.post(WORK_PATH, self.do_work),
+                web.get("/status", self.status),
+                web.get("/parked", self.parked),
+            ]
+        )
         self.app.cleanup_ctx.append(self.running)
 
     async def running(self, _: web.Application) -> object:
@@ -100,8 +106,9 @@
         if len(self.waiting) >= MOST_WAITING:
             return web.Response(status=503, text="too many asks wait\n")
         said = msgspec.msgpack.encode(await self.decided(ask))
-        return web.Response(body=said, content_type="application/msgpack",
-                            headers={SIGNATURE: sign(self.secret, said)})
+        return web.Response(
+            body=said, content_type="application/msgpack", headers={SIGNATURE: sign(self.secret, said)}
+        )
 
     async def do_work(self, request: web.Request) -> web.StreamResponse:
         """A door's long call: each frame is an ask, and is answered by one. What is not signed ends it."""
@@ -219,8 +226,10 @@
     def grants_of(self, answer: Answer) -> list[tuple[str, str, Issued]]:
         """The grants of an answer as the state has them."""
         holder = holder_of(answer.door, answer.mark)
-        return [(grant.budget, holder, self.state.budgets[grant.budget].holdings[holder].issued[-1])
-                for grant in answer.grants]
+        return [
+            (grant.budget, holder, self.state.budgets[grant.budget].holdings[holder].issued[-1])
+            for grant in answer.grants
+        ]
 
     async def tick(self) -> None:
         while True:
@@ -245,20 +254,42 @@
     async def status(self, request: web.Request) -> web.Response:
         self.signed(request, request.path.encode())
         now = now_ms()
-        held = {name: {"whole": budget.terms.whole, "held": budget.bound, "holders": len(budget.holdings)}
-                for name, budget in self.state.budgets.items()}
-        work = {"intents": len(self.work.intents), "bytes": self.work.bytes, "doors": len(self.work.members),
-                **self.work.counts}
-        return web.json_response({
-            "work": work, "fence": self.state.fence, "quiet_ms": max(0, self.state.quiet_until_ms - now),
-            "asks": self.asks, "commits": self.commits, "budgets": held})
+        held = {
+            name: {"whole": budget.terms.whole, "held": budget.bound, "holders": len(budget.holdings)}
+            for name, budget in self.state.budgets.items()
+        }
+        work = {
+            "intents": len(self.work.intents),
+            "bytes": self.work.bytes,
+            "doors": len(self.work.members),
+            **self.work.counts,
+        }
+        return web.json_response(
+            {
+                "work": work,
+                "fence": self.state.fence,
+                "quiet_ms": max(0, self.state.quiet_until_ms - now),
+                "asks": self.asks,
+                "commits": self.commits,
+                "budgets": held,
+            }
+        )
 
     async def parked(self, request: web.Request) -> web.Response:
         """Work that has been given up, as it may be what its owners died of, for people to look at."""
         self.signed(request, request.path.encode())
-        return web.json_response([
-            {"name": one.name, "customer": one.customer, "deaths": one.deaths, "at_ms": one.done_ms,
-             "request": one.request.decode(errors="replace")} for one in self.work.parked])
+        return web.json_response(
+            [
+                {
+                    "name": one.name,
+                    "customer": one.customer,
+                    "deaths": one.deaths,
+                    "at_ms": one.done_ms,
+                    "request": one.request.decode(errors="replace"),
+                }
+                for one in self.work.parked
+            ]
+        )
 
 
 def turn_away(answers: Iterable[tuple[asyncio.Future[Any], object]], error: Exception) -> None:
--- a/steward/state.py
+++ b/steward/state.py
@@ -192,8 +192,9 @@
             raise RefusedError(f"there are {MOST_HOLDERS} holders already")
         self.serials[name] = ask.serial, now_ms
         grants = [grant for want in ask.wants if (grant := self.renew(name, want, now_ms)) is not None]
-        return Answer(door=ask.door, mark=ask.mark, serial=ask.serial, lease_ms=self.lease_ms,
-                      grants=tuple(grants))
+        return Answer(
+            door=ask.door, mark=ask.mark, serial=ask.serial, lease_ms=self.lease_ms, grants=tuple(grants)
+        )
 
     def renew(self, name: str, want: Want, now_ms: int) -> Grant | None:
         """One budget's part for a holder, as much as can be given now."""
--- a/steward/tenure.py
+++ b/steward/tenure.py
@@ -45,8 +45,9 @@
 
 def terms(folder: Path) -> list[int]:
     """The numbers of all terms that there are, the latest first."""
-    return sorted((int(found[1]) for name in os.listdir(folder) if (found := TERM.fullmatch(name))),
-                  reverse=True)
+    return sorted(
+        (int(found[1]) for name in os.listdir(folder) if (found := TERM.fullmatch(name))), reverse=True
+    )
 
 
 def latest(folder: Path) -> int:
@@ -98,8 +99,12 @@
         self.seen = seen
         if self.looks < MOST_LOOKS:
             return None
-        log.warning("term %d of %s is passed over: its process has not been well for %.1f s", number,
-                    self.folder, MOST_LOOKS * LOOK_S)
+        log.warning(
+            "term %d of %s is passed over: its process has not been well for %.1f s",
+            number,
+            self.folder,
+            MOST_LOOKS * LOOK_S,
+        )
         self.looks = 0
         return number
 
@@ -130,7 +135,8 @@
         try:
             found, mine = self.place.stat(), os.fstat(self.file)
             return (found.st_ino, found.st_dev) == (mine.st_ino, mine.st_dev) and (
-                latest(self.folder) == self.number)
+                latest(self.folder) == self.number
+            )
         except OSError:
             return False
 
--- a/steward/wire.py
+++ b/steward/wire.py
@@ -57,8 +57,9 @@
         if len(self.buffer) < FRAME.size + length:
             return None
         body = bytes(self.buffer[FRAME.size : FRAME.size + length])
-        if not hmac.compare_digest(signature, hmac.new(
-                self.secret, bytes([status]) + body, hashlib.sha256).digest()):
+        if not hmac.compare_digest(
+            signature, hmac.new(self.secret, bytes([status]) + body, hashlib.sha256).digest()
+        ):
             raise FrameError("a frame that is not signed by the shared secret")
         del self.buffer[: FRAME.size + length]
         return status, body
--- a/steward/work.py
+++ b/steward/work.py
@@ -181,8 +181,20 @@
     def apply(self, record: Record) -> None:
         """Bring a change about: one that is decided on, or one that was kept."""
         if isinstance(record, Began):
-            self.put(Intent(record.name, record.digest, record.customer, record.effect, record.end_ms,
-                            record.window_ms, record.request, record.owner, record.fence, record.id))
+            self.put(
+                Intent(
+                    record.name,
+                    record.digest,
+                    record.customer,
+                    record.effect,
+                    record.end_ms,
+                    record.window_ms,
+                    record.request,
+                    record.owner,
+                    record.fence,
+                    record.id,
+                )
+            )
             self.fence = max(self.fence, record.fence)
             return
         intent = self.intents.get(record.name)
@@ -221,15 +233,37 @@
     def kept(self) -> Iterator[Record]:
         """All that there is, as records: what a snapshot holds."""
         for one in self.intents.values():
-            yield Began(name=one.name, digest=one.digest, customer=one.customer, effect=one.effect,
-                        end_ms=one.end_ms, window_ms=one.window_ms, request=one.request, owner=one.owner,
-                        fence=one.fence, id=one.id)
+            yield Began(
+                name=one.name,
+                digest=one.digest,
+                customer=one.customer,
+                effect=one.effect,
+                end_ms=one.end_ms,
+                window_ms=one.window_ms,
+                request=one.request,
+                owner=one.owner,
+                fence=one.fence,
+                id=one.id,
+            )
             if one.before[0]:
                 yield Tried(name=one.name, server=one.before[0], place=one.before[1], at_ms=one.first_ms)
-            yield Owned(name=one.name, owner=one.owner, fence=one.fence, end_ms=one.end_ms, id=one.id,
-                        deaths=one.deaths, orphan=one.orphan)
-            yield Tried(name=one.name, server=one.tried[0], place=one.tried[1], at_ms=one.first_ms,
-                        number=one.number, unrun=True)
+            yield Owned(
+                name=one.name,
+                owner=one.owner,
+                fence=one.fence,
+                end_ms=one.end_ms,
+                id=one.id,
+                deaths=one.deaths,
+                orphan=one.orphan,
+            )
+            yield Tried(
+                name=one.name,
+                server=one.tried[0],
+                place=one.tried[1],
+                at_ms=one.first_ms,
+                number=one.number,
+                unrun=True,
+            )
             if one.how:
                 yield Ended(name=one.name, how=one.how, at_ms=one.done_ms, value=one.value)
 
@@ -296,8 +330,16 @@
             over = "unknown"
         wanted = not over and self.is_wanted(intent, now_ms)
         taker = self.taker(intent, now_ms) if wanted else ""
-        self.change(Owned(name=intent.name, owner=taker, fence=self.fence + 1, end_ms=intent.end_ms,
-                          deaths=deaths, orphan=wanted and not taker))
+        self.change(
+            Owned(
+                name=intent.name,
+                owner=taker,
+                fence=self.fence + 1,
+                end_ms=intent.end_ms,
+                deaths=deaths,
+                orphan=wanted and not taker,
+            )
+        )
         if taker:
             self.members[taker].handed[intent.fence] = intent.name
             self.counts["handed"] += 1
@@ -310,8 +352,11 @@
 
     def taker(self, intent: Intent, now_ms: int) -> str:
         """Who goes on with it, by rendezvous hashing over those that are there."""
-        there = (name for name, member in self.members.items()
-                 if self.is_alive(name, now_ms) and not member.leaving and name not in intent.left)
+        there = (
+            name
+            for name, member in self.members.items()
+            if self.is_alive(name, now_ms) and not member.leaving and name not in intent.left
+        )
         return max(there, key=lambda name: weight(name, intent.name), default="")
 
     def end(self, intent: Intent, how: str, now_ms: int, value: bytes = b"") -> None:
@@ -341,8 +386,11 @@
         for fence in ask.took:
             member.handed.pop(fence, None)
         told = [self.act(owner, op, now_ms) for op in ask.ops[:MOST_OPS]]
-        handed = [self.handed(intent, now_ms) for fence, name in list(member.handed.items())[:MOST_HANDED]
-                  if (intent := self.intents.get(name)) is not None and intent.fence == fence]
+        handed = [
+            self.handed(intent, now_ms)
+            for fence, name in list(member.handed.items())[:MOST_HANDED]
+            if (intent := self.intents.get(name)) is not None and intent.fence == fence
+        ]
         return self.say(answer, told, handed), self.records
 
     def say(self, answer: WorkAnswer, told: list[Told], handed: Iterable[Handed] = ()) -> WorkAnswer:
@@ -350,8 +398,14 @@
 
     def handed(self, intent: Intent, now_ms: int) -> Handed:
         server, place = intent.tried
-        return Handed(name=intent.name, fence=intent.fence, request=intent.request, server=server,
-                      place=place, left_ms=max(0, self.until_ms(intent) - now_ms))
+        return Handed(
+            name=intent.name,
+            fence=intent.fence,
+            request=intent.request,
+            server=server,
+            place=place,
+            left_ms=max(0, self.until_ms(intent) - now_ms),
+        )
 
     def until_ms(self, intent: Intent) -> int:
         """Until when it may be worked on: what has run may run again only while its servers remember it."""
@@ -378,8 +432,16 @@
         elif isinstance(op, Leave):
             self.leave(owner, intent, op, now_ms)
         elif op.number > intent.number:
-            self.change(Tried(name=op.name, server=op.server, place=op.place, at_ms=now_ms, number=op.number,
-                              unrun=op.unrun))
+            self.change(
+                Tried(
+                    name=op.name,
+                    server=op.server,
+                    place=op.place,
+                    at_ms=now_ms,
+                    number=op.number,
+                    unrun=op.unrun,
+                )
+            )
         return kept
 
     def leave(self, owner: str, intent: Intent, op: Leave, now_ms: int) -> None:
@@ -393,8 +455,15 @@
         elif op.unrun:
             self.change(Dropped(name=intent.name))
         else:
-            self.change(Owned(name=intent.name, owner="", fence=self.fence + 1, end_ms=intent.end_ms,
-                              deaths=intent.deaths))
+            self.change(
+                Owned(
+                    name=intent.name,
+                    owner="",
+                    fence=self.fence + 1,
+                    end_ms=intent.end_ms,
+                    deaths=intent.deaths,
+                )
+            )
 
     def begin(self, owner: str, op: Begin, now_ms: int) -> Told:
         """Keep an intent, unless there is one by that name already: then whoever asks again goes on with what
@@ -417,29 +486,53 @@
         if not intent.may_run_again(now_ms):
             return Told(how="failed")
         server, place = intent.tried
-        self.change(Owned(name=op.name, owner=owner, fence=self.fence + 1, end_ms=end_ms, id=op.id,
-                          deaths=intent.deaths))
+        self.change(
+            Owned(
+                name=op.name, owner=owner, fence=self.fence + 1, end_ms=end_ms, id=op.id, deaths=intent.deaths
+            )
+        )
         if not server or place == op.place:
             self.change(Tried(name=op.name, server=op.server, place=op.place, at_ms=now_ms))
         return self.yours(intent, (server, place), now_ms)
 
     def yours(self, intent: Intent, ran: tuple[str, str], now_ms: int) -> Told:
         """It is the asker's, with where it may have run before."""
-        return Told(how="kept", fence=intent.fence, server=ran[0], place=ran[1],
-                    left_ms=max(0, self.until_ms(intent) - now_ms))
+        return Told(
+            how="kept",
+            fence=intent.fence,
+            server=ran[0],
+            place=ran[1],
+            left_ms=max(0, self.until_ms(intent) - now_ms),
+        )
 
     def keep(self, owner: str, op: Begin, now_ms: int) -> Told:
         fits = len(op.request) <= MOST_REQUEST and len(op.name) <= MOST_NAME
         self.make_room(len(op.request))
-        if (not fits or len(self.intents) >= MOST_INTENTS or self.bytes + len(op.request) > MOST_BYTES
-                or self.of_customer.get(op.customer, 0) >= MOST_OF_CUSTOMER):
+        if (
+            not fits
+            or len(self.intents) >= MOST_INTENTS
+            or self.bytes + len(op.request) > MOST_BYTES
+            or self.of_customer.get(op.customer, 0) >= MOST_OF_CUSTOMER
+        ):
             self.counts["full"] += 1
             return Told(how="full")
-        left, window = (max(0, min(ms, most)) for ms, most in
-                        ((op.left_ms, MOST_LEFT_MS), (op.window_ms, MOST_WINDOW_MS)))
-        self.change(Began(name=op.name, digest=op.digest, customer=op.customer, effect=op.effect,
-                          end_ms=now_ms + left, window_ms=window, request=op.request, owner=owner,
-                          fence=self.fence + 1, id=op.id))
+        left, window = (
+            max(0, min(ms, most)) for ms, most in ((op.left_ms, MOST_LEFT_MS), (op.window_ms, MOST_WINDOW_MS))
+        )
+        self.change(
+            Began(
+                name=op.name,
+                digest=op.digest,
+                customer=op.customer,
+                effect=op.effect,
+                end_ms=now_ms + left,
+                window_ms=window,
+                request=op.request,
+                owner=owner,
+                fence=self.fence + 1,
+                id=op.id,
+            )
+        )
         self.change(Tried(name=op.name, server=op.server, place=op.place, at_ms=now_ms))
         self.counts["kept"] += 1
         return self.yours(self.intents[op.name], ("", ""), now_ms)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,9 +14,21 @@
 SAFE = i.RequestClass(aim_us=2 * S, deadline_us=6 * S)
 PLAN = i.Plan(rate=10.0, burst=20.0)
 SETTINGS = i.Settings(
-    seed=7, me=0, gateways=1, classes=(SAFE,), plans=(PLAN,), max_attempts=3, may_cancel=True, may_tell=True,
-    peer_messages_per_s=100.0, max_retry_after_us=500 * MS, cold_from=0.2, warm_within_us=10 * S,
-    fall_multiple=2.0, fall_us=S, answer_grace_us=8 * MS,
+    seed=7,
+    me=0,
+    gateways=1,
+    classes=(SAFE,),
+    plans=(PLAN,),
+    max_attempts=3,
+    may_cancel=True,
+    may_tell=True,
+    peer_messages_per_s=100.0,
+    max_retry_after_us=500 * MS,
+    cold_from=0.2,
+    warm_within_us=10 * S,
+    fall_multiple=2.0,
+    fall_us=S,
+    answer_grace_us=8 * MS,
 )
 
 
@@ -82,7 +94,10 @@
     """Several gateways that a customer's requests come through, with the messages between them."""
 
     def __init__(
-        self, count: int, settings: i.Settings = SETTINGS, fleet: Iterable[i.Server] = servers(4),
+        self,
+        count: int,
+        settings: i.Settings = SETTINGS,
+        fleet: Iterable[i.Server] = servers(4),
         loss: float = 0.0,
     ) -> None:
         self.worlds = [World(replace(settings, me=n, gateways=count, seed=n), fleet) for n in range(count)]
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -23,19 +23,40 @@
     i.RequestClass(2_000_000, 6_000_000, effect=i.Effect.UNSAFE),
 )
 SETTINGS = i.Settings(
-    seed=3, me=0, gateways=2, classes=CLASSES, plans=(i.Plan(rate=1000.0, burst=1000.0),), max_attempts=3,
-    max_retry_after_us=750_000, may_cancel=True, may_tell=True, peer_messages_per_s=100.0,
+    seed=3,
+    me=0,
+    gateways=2,
+    classes=CLASSES,
+    plans=(i.Plan(rate=1000.0, burst=1000.0),),
+    max_attempts=3,
+    max_retry_after_us=750_000,
+    may_cancel=True,
+    may_tell=True,
+    peer_messages_per_s=100.0,
 )
 # For tests that no time is to decide, however busy the machine: nothing is given up meanwhile, and with a
 # backend for each `OUT_PER_SERVER` requests nothing is held.
-PATIENT = replace(SETTINGS, gateways=1, classes=tuple(
-    replace(rule, aim_us=60_000_000, deadline_us=90_000_000) for rule in CLASSES))
+PATIENT = replace(
+    SETTINGS,
+    gateways=1,
+    classes=tuple(replace(rule, aim_us=60_000_000, deadline_us=90_000_000) for rule in CLASSES),
+)
 PATIENT_MS = 80_000
 CONFIG = Config(
-    name="n0", listen=(HOST, 0), discovery=((HOST, 1),), settings=SETTINGS,
-    class_numbers={"read": 0, "book": 1, "settle": 2}, plan_numbers={"team": 0},
-    zone_numbers={"a": 0, "b": 1}, kind_numbers={"m2": 0}, conn_idle_us=30_000_000,
-    connect_timeout_us=20_000_000, max_open=100, sockets=256, memory_mb=64, known={},
+    name="n0",
+    listen=(HOST, 0),
+    discovery=((HOST, 1),),
+    settings=SETTINGS,
+    class_numbers={"read": 0, "book": 1, "settle": 2},
+    plan_numbers={"team": 0},
+    zone_numbers={"a": 0, "b": 1},
+    kind_numbers={"m2": 0},
+    conn_idle_us=30_000_000,
+    connect_timeout_us=20_000_000,
+    max_open=100,
+    sockets=256,
+    memory_mb=64,
+    known={},
 )
 
 
@@ -137,8 +158,16 @@
 
 
 def entry(name: str, address: Address, lifecycle: str = "SERVING", started_ms: int = 0) -> dict[str, Any]:
-    return {"instanceId": name, "hostPort": f"{address[0]}:{address[1]}", "zone": "a", "machineType": "m2",
-            "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started_ms}
+    return {
+        "instanceId": name,
+        "hostPort": f"{address[0]}:{address[1]}",
+        "zone": "a",
+        "machineType": "m2",
+        "cell": 0,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": started_ms,
+    }
 
 
 def catalog(version: int, entries: Iterable[dict[str, Any]], reset: bool = True) -> bytes:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -39,8 +39,14 @@
 def run(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     environment = {**os.environ, "PYTHONHASHSEED": hash_seed}
     return subprocess.run(
-        [sys.executable, "-m", "fennelwinch.adapter"], input=text, text=True, capture_output=True, cwd=ROOT,
-        env=environment, check=False, timeout=60,
+        [sys.executable, "-m", "fennelwinch.adapter"],
+        input=text,
+        text=True,
+        capture_output=True,
+        cwd=ROOT,
+        env=environment,
+        check=False,
+        timeout=60,
     )
 
 
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -235,18 +235,38 @@
     assert world.gateway.further is None
 
 
-@pytest.mark.parametrize("values, said", [
-    ([], None), (3, "no object"), ({"secret_file": "/nowhere", "addresses": "x"}, "cannot read"),
-    ({"secret_file": __file__, "addresses": "nowhere"}, "not an address"),
-    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "lease_ms": 5}, "less than 500"),
-    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": 3}, "no rate from 0"),
-    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": {"rate": 1}}, "no burst from"),
-    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": {"rate": 1, "burst": 0.5}},
-     "burst of less than 1"),
-    ({"secret_file": __file__, "addresses": "127.0.0.1:1",
-      "further_attempts": {"rate": float("nan"), "burst": 1}}, "no rate from 0"),
-    ({"secret_file": __file__, "addresses": "127.0.0.1:1", "quotas": 1}, "neither true nor false"),
-])
+@pytest.mark.parametrize(
+    "values, said",
+    [
+        ([], None),
+        (3, "no object"),
+        ({"secret_file": "/nowhere", "addresses": "x"}, "cannot read"),
+        ({"secret_file": __file__, "addresses": "nowhere"}, "not an address"),
+        ({"secret_file": __file__, "addresses": "127.0.0.1:1", "lease_ms": 5}, "less than 500"),
+        ({"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": 3}, "no rate from 0"),
+        (
+            {"secret_file": __file__, "addresses": "127.0.0.1:1", "further_attempts": {"rate": 1}},
+            "no burst from",
+        ),
+        (
+            {
+                "secret_file": __file__,
+                "addresses": "127.0.0.1:1",
+                "further_attempts": {"rate": 1, "burst": 0.5},
+            },
+            "burst of less than 1",
+        ),
+        (
+            {
+                "secret_file": __file__,
+                "addresses": "127.0.0.1:1",
+                "further_attempts": {"rate": float("nan"), "burst": 1},
+            },
+            "no rate from 0",
+        ),
+        ({"secret_file": __file__, "addresses": "127.0.0.1:1", "quotas": 1}, "neither true nor false"),
+    ],
+)
 def test_what_is_wrong_with_the_part_on_the_steward_is_one_line(values: object, said: str | None) -> None:
     if said is None:
         assert read_steward(values) is None
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -261,10 +261,23 @@
 
 
 SPOILT = [
-    b"*1000000000\r\n", b"*3\r\n$3000000000\r\n", b"*3\r\n$-7\r\n", b"*3\r\n$-1\r\n", b"*3\r\n*3\r\n",
-    b":5\r\n", b"+OK\r\n", b"*2\r\n", b"$2\r\nok\r\n", b"*3\r\n$4\r\nabcdefgh\r\n", b"_\r\n", b"x" * 20,
+    b"*1000000000\r\n",
+    b"*3\r\n$3000000000\r\n",
+    b"*3\r\n$-7\r\n",
+    b"*3\r\n$-1\r\n",
+    b"*3\r\n*3\r\n",
+    b":5\r\n",
+    b"+OK\r\n",
+    b"*2\r\n",
+    b"$2\r\nok\r\n",
+    b"*3\r\n$4\r\nabcdefgh\r\n",
+    b"_\r\n",
+    b"x" * 20,
     b"-" + b"x" * 600,
-    b"*3\r\n$2\r\nok\r\n$-1\r\n$99999\r\n", b"*3\r\n$2\r\nok\r\n:1\r\n:2\r\n", b"*3\r\n+ok\r\n", b"*-1\r\n",
+    b"*3\r\n$2\r\nok\r\n$-1\r\n$99999\r\n",
+    b"*3\r\n$2\r\nok\r\n:1\r\n:2\r\n",
+    b"*3\r\n+ok\r\n",
+    b"*-1\r\n",
 ]
 
 
@@ -435,8 +448,11 @@
 
     async def job() -> None:
         backend = Backend()
-        backend.answer = lambda words: b"" if backend.writers.index(backend.writers[-1]) < len(
-            backend.writers) - 1 else value(b"ok")  # the second command on a connection
+        backend.answer = (
+            lambda words: b""
+            if backend.writers.index(backend.writers[-1]) < len(backend.writers) - 1
+            else value(b"ok")
+        )  # the second command on a connection
         sender = Sender(await backend.start())
         results = []
         for _ in range(40):
@@ -487,9 +503,10 @@
     assert parsed(data, cuts) == [Answer(body, report=report) for body, report in answers]
 
 
-PIECES = st.one_of(st.binary(max_size=20), st.sampled_from(
-    [b"*3\r\n", b"$3\r\nabc\r\n", b"$-1\r\n", b"-ERR failed\r\n", b"-BUSY\r\n", b"\r\n"]
-))
+PIECES = st.one_of(
+    st.binary(max_size=20),
+    st.sampled_from([b"*3\r\n", b"$3\r\nabc\r\n", b"$-1\r\n", b"-ERR failed\r\n", b"-BUSY\r\n", b"\r\n"]),
+)
 
 
 @given(st.lists(PIECES), st.lists(st.integers(0, 200)))
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -41,13 +41,20 @@
     return errors
 
 
-@pytest.mark.parametrize(("args", "says"), [
-    ([], "required"), (["speed"], "invalid choice"), (["cost", "--load", "none"], "unknown load 'none'"),
-    (["cost", "--against", "no-such-thing"], "no revision 'no-such-thing'"),
-    (["cost", "--against=--help"], "no revision"), (["cost", "--requests", "0"], "'0' is no whole number"),
-    (["cost", "--pairs", "many"], "'many' is no whole number"), (["cost", "--port", "70000"], "'70000'"),
-    (["cost", "--json", "/nowhere/x.json"], "cannot write"),
-])
+@pytest.mark.parametrize(
+    ("args", "says"),
+    [
+        ([], "required"),
+        (["speed"], "invalid choice"),
+        (["cost", "--load", "none"], "unknown load 'none'"),
+        (["cost", "--against", "no-such-thing"], "no revision 'no-such-thing'"),
+        (["cost", "--against=--help"], "no revision"),
+        (["cost", "--requests", "0"], "'0' is no whole number"),
+        (["cost", "--pairs", "many"], "'many' is no whole number"),
+        (["cost", "--port", "70000"], "'70000'"),
+        (["cost", "--json", "/nowhere/x.json"], "cannot write"),
+    ],
+)
 def test_bad_input_is_one_plain_line(
     args: list[str], says: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
@@ -143,11 +150,19 @@
 @pytest.mark.skipif(not PROC.is_dir(), reason="this system lists no children of a process")
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_all_is_gone_after_a_signal(number: int) -> None:
-    code = ("import sys, bench.__main__ as m; from bench.process import ROOT, Tree\n"
-            f"m.prepare = lambda root: Tree(ROOT, {HERE.run!r}, True)\n"
-            "sys.argv[1:] = ['cost', '--load', 'steady', '--requests', '100000']; sys.exit(m.main())")
-    bench = subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, stdin=subprocess.DEVNULL,
-                             stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    code = (
+        "import sys, bench.__main__ as m; from bench.process import ROOT, Tree\n"
+        f"m.prepare = lambda root: Tree(ROOT, {HERE.run!r}, True)\n"
+        "sys.argv[1:] = ['cost', '--load', 'steady', '--requests', '100000']; sys.exit(m.main())"
+    )
+    bench = subprocess.Popen(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     children = Path(f"/proc/{bench.pid}/task/{bench.pid}/children")
     while not (found := [int(pid) for pid in children.read_text().split()]):
         assert bench.poll() is None
@@ -161,8 +176,11 @@
     def made(load: str, us: float, idle: float | None) -> cost.Play:
         return cost.Play(load, 10, 10, 0, 0, us, 1, 2, idle, 0.5, 0.25, 0.0)
 
-    found = [(made("a", 90, 3.0), made("a", 100, 5.0)), (made("a", 104, 3.0), made("a", 110, 3.0)),
-             (made("b", 7, None), made("b", 7, None))]
+    found = [
+        (made("a", 90, 3.0), made("a", 100, 5.0)),
+        (made("a", 104, 3.0), made("a", 110, 3.0)),
+        (made("b", 7, None), made("b", 7, None)),
+    ]
     rows = {(row["load"], row["figure"]): row for row in cost.differences(found)}
     taken = rows["a", "processor_us"]
     assert (taken["pairs"], taken["ours"], taken["theirs"], taken["difference"]) == (2, 97, 105, -8)
--- a/tests/test_bench_lists.py
+++ b/tests/test_bench_lists.py
@@ -19,6 +19,12 @@
 
 
 def test_bad_input_is_one_line() -> None:
-    done = subprocess.run([sys.executable, "-m", "bench", "roster", "--watchers", "0"], cwd=ROOT,
-                          capture_output=True, text=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "bench", "roster", "--watchers", "0"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "--watchers" in done.stderr
--- a/tests/test_bench_work.py
+++ b/tests/test_bench_work.py
@@ -40,6 +40,12 @@
 
 @pytest.mark.parametrize("words", [("takeover", "--pairs"), ("leases", "--holders")])
 def test_bad_input_is_one_line(words: tuple[str, str]) -> None:
-    done = subprocess.run([sys.executable, "-m", "bench", *words, "x"], cwd=ROOT,
-                          capture_output=True, text=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "bench", *words, "x"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and words[1] in done.stderr
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -153,11 +153,12 @@
     run(job())
 
 
-
 def test_start_loads_no_module_for_little() -> None:
     """What is loaded stays for good, in each of the fleet's front doors."""
-    code = ("import sys, molereach.__main__\n"
-            "print([name for name in ('pathlib', 'urllib', 'email') if name in sys.modules])")
+    code = (
+        "import sys, molereach.__main__\n"
+        "print([name for name in ('pathlib', 'urllib', 'email') if name in sys.modules])"
+    )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -45,12 +45,25 @@
     run(job())
 
 
-@pytest.mark.parametrize("data", [
-    b"PING\r\n", b"*1\r\n:1\r\n", b"*2\r\n*100000000\r\n", b"*100000000\r\n", b"$4\r\nPING\r\n", b"*x\r\n",
-    b"*-1\r\n", b"*0\r\n" * 1000, b"*1\r\n$-1\r\n",
-    b"*2\r\n$40000\r\n" + b"x" * 40000 + b"\r\n$40000\r\n",
-    b"*1\r\n$70000\r\n", b"*1\r\n$1\r\nab\r\n", b"*1\r\n$" + b"1" * 40, b"\x16\x03\x01\x02\x00",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"PING\r\n",
+        b"*1\r\n:1\r\n",
+        b"*2\r\n*100000000\r\n",
+        b"*100000000\r\n",
+        b"$4\r\nPING\r\n",
+        b"*x\r\n",
+        b"*-1\r\n",
+        b"*0\r\n" * 1000,
+        b"*1\r\n$-1\r\n",
+        b"*2\r\n$40000\r\n" + b"x" * 40000 + b"\r\n$40000\r\n",
+        b"*1\r\n$70000\r\n",
+        b"*1\r\n$1\r\nab\r\n",
+        b"*1\r\n$" + b"1" * 40,
+        b"\x16\x03\x01\x02\x00",
+    ],
+)
 def test_malformed_resp_is_an_error_and_a_close(data: bytes) -> None:
     async def job() -> None:
         backend = Backend()
@@ -68,27 +81,46 @@
 FIELDS = "c=read,t=team,d=500"
 
 
-@pytest.mark.parametrize("words", [
-    ("GET", "x"), ("svc.query", CUSTOMER, "a", FIELDS), ("SVC.QUERY",), ("SVC.QUERY", CUSTOMER, "a"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS, "BODY"), ("SVC.SUBMIT", CUSTOMER, "a", "c=settle,t=team,d=500"),
-    ("SVC.QUERY", "b4d65521", "a", FIELDS), ("SVC.QUERY", "0" * 15 + "g", "a", FIELDS),
-    ("SVC.QUERY", "f" * 16, "a", FIELDS), ("SVC.QUERY", CUSTOMER, "", FIELDS),
-    ("SVC.QUERY", CUSTOMER, "a b", FIELDS), ("SVC.QUERY", CUSTOMER, "a", ""),
-    ("SVC.QUERY", CUSTOMER, "a", "c=what,t=team,d=500"), ("SVC.QUERY", CUSTOMER, "a", "c=read,t=what,d=500"),
-    ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team"), ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=-5"),
-    ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=1e3"),
-    ("SVC.QUERY", CUSTOMER, "a", "c=settle,t=team,d=500"),
-    ("SVC.SUBMIT", CUSTOMER, "a", FIELDS, "B"), ("SVC.SUBMIT", CUSTOMER, "a", "c=book,t=team,d=500", "B"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=nan"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=0"),
-    *[("SVC.QUERY", CUSTOMER, "a", FIELDS + f",units={units}")
-      for units in ("-1", "inf", "1_0", " 1", "1e3", "x", "", "1001", "0x1", "1.", "+1")],
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=1,first=1"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=0"),
-    ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=86400000"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=3"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",first=2"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",d=900"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",é=1"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",odd"), ("PING", "a", "b"),
-])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("GET", "x"),
+        ("svc.query", CUSTOMER, "a", FIELDS),
+        ("SVC.QUERY",),
+        ("SVC.QUERY", CUSTOMER, "a"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS, "BODY"),
+        ("SVC.SUBMIT", CUSTOMER, "a", "c=settle,t=team,d=500"),
+        ("SVC.QUERY", "b4d65521", "a", FIELDS),
+        ("SVC.QUERY", "0" * 15 + "g", "a", FIELDS),
+        ("SVC.QUERY", "f" * 16, "a", FIELDS),
+        ("SVC.QUERY", CUSTOMER, "", FIELDS),
+        ("SVC.QUERY", CUSTOMER, "a b", FIELDS),
+        ("SVC.QUERY", CUSTOMER, "a", ""),
+        ("SVC.QUERY", CUSTOMER, "a", "c=what,t=team,d=500"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=what,d=500"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=-5"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=1e3"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=settle,t=team,d=500"),
+        ("SVC.SUBMIT", CUSTOMER, "a", FIELDS, "B"),
+        ("SVC.SUBMIT", CUSTOMER, "a", "c=book,t=team,d=500", "B"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=nan"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=0"),
+        *[
+            ("SVC.QUERY", CUSTOMER, "a", FIELDS + f",units={units}")
+            for units in ("-1", "inf", "1_0", " 1", "1e3", "x", "", "1001", "0x1", "1.", "+1")
+        ],
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=1,first=1"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=0"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=86400000"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=3"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",first=2"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",d=900"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",é=1"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",odd"),
+        ("PING", "a", "b"),
+    ],
+)
 def test_wrong_command_is_an_error_and_the_connection_lives(words: tuple[str, ...]) -> None:
     async def job() -> None:
         backend = Backend()
@@ -174,16 +206,26 @@
     monkeypatch.setattr(clients, "SWEEP_S", 0.01)
     monkeypatch.setattr(clients, name, TEST_US)
     monkeypatch.setitem(clients.WAITS_US, clients.State.GREETED, clients.IDLE_US)
-    states = {"IDLE_US": clients.State.IDLE, "REST_OF_COMMAND_US": clients.State.PARTIAL,
-              "READS_US": clients.State.CLOGGED, "LINGER_US": clients.State.CLOSING}
+    states = {
+        "IDLE_US": clients.State.IDLE,
+        "REST_OF_COMMAND_US": clients.State.PARTIAL,
+        "READS_US": clients.State.CLOGGED,
+        "LINGER_US": clients.State.CLOSING,
+    }
     if name in states:
         monkeypatch.setitem(clients.WAITS_US, states[name], TEST_US)
 
 
-@pytest.mark.parametrize(("name", "data", "answers"), [
-    ("FIRST_US", b"", 0), ("FIRST_US", b"*4\r\n$9\r\nSVC.", 0), ("FIRST_US", resp("WHAT"), 1),
-    ("REST_OF_COMMAND_US", resp("PING") + b"*4\r\n$9\r\nSVC.", 1), ("IDLE_US", resp("PING"), 1),
-])
+@pytest.mark.parametrize(
+    ("name", "data", "answers"),
+    [
+        ("FIRST_US", b"", 0),
+        ("FIRST_US", b"*4\r\n$9\r\nSVC.", 0),
+        ("FIRST_US", resp("WHAT"), 1),
+        ("REST_OF_COMMAND_US", resp("PING") + b"*4\r\n$9\r\nSVC.", 1),
+        ("IDLE_US", resp("PING"), 1),
+    ],
+)
 def test_connection_that_is_of_no_use_ends(
     monkeypatch: pytest.MonkeyPatch, name: str, data: bytes, answers: int
 ) -> None:
@@ -234,7 +276,7 @@
 
 
 def test_close_is_bounded_where_the_client_reads_nothing_and_sends_on(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     hurry(monkeypatch, "LINGER_US")
 
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -198,4 +198,3 @@
         assert await process.wait() == 0
 
     run(job())
-
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -33,8 +33,11 @@
 
 
 def connection_of(door: FrontDoor, client: socket.socket) -> clients.ClientConnection:
-    (found,) = [one for one in door.clients.connections
-                if one.transport.get_extra_info("peername") == client.getsockname()]
+    (found,) = [
+        one
+        for one in door.clients.connections
+        if one.transport.get_extra_info("peername") == client.getsockname()
+    ]
     return found
 
 
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -142,8 +142,11 @@
             client.send(b"".join(submit(f"a{number}", wait_ms=4000) for number in range(50)))
             await first.wait()
             await asyncio.sleep(0.3)
-            commands = [(words[2], writer) for backend in fleet
-                        for words, writer in zip(backend.commands, backend.writers, strict=True)]
+            commands = [
+                (words[2], writer)
+                for backend in fleet
+                for words, writer in zip(backend.commands, backend.writers, strict=True)
+            ]
             dict(commands)[b"a0"].write(value(b"a0"))
             assert [await client.answer() for _ in range(50)] == [b"a%d" % number for number in range(50)]
             assert all(told[b"a%d" % number] <= 4000 - MARGIN_MS for number in range(16))
@@ -230,7 +233,7 @@
         backend = Recorder()
         async with front_door(backend) as (_, address):
             client = await Client.open(address)
-            for number, step in enumerate((-10**9, 10**9)):
+            for number, step in enumerate((-(10**9), 10**9)):
                 monkeypatch.setattr(time, "time", lambda step=step: 1e9 + step)
                 monkeypatch.setattr(time, "time_ns", lambda step=step: 10**18 + step * 10**9)
                 assert await client.ask(submit(f"a{number}", wait_ms=3000)) == b"ok"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -33,8 +33,12 @@
     heard: asyncio.Queue[News] = asyncio.Queue()
     tasks = []
     found = Discovery(
-        (await watch.start(),), Catalog(CONFIG), version, heard.put_nowait,
-        lambda job: tasks.append(asyncio.create_task(job)), chance=Longest(),
+        (await watch.start(),),
+        Catalog(CONFIG),
+        version,
+        heard.put_nowait,
+        lambda job: tasks.append(asyncio.create_task(job)),
+        chance=Longest(),
     )
     found.start()
     try:
@@ -225,8 +229,12 @@
         self.heard: asyncio.Queue[News] = asyncio.Queue()
         self.tasks: list[asyncio.Task[None]] = []
         self.discovery = Discovery(
-            addresses, Catalog(CONFIG), 3, self.heard.put_nowait,
-            lambda job: self.tasks.append(asyncio.create_task(job)), chance=random.Random(1),
+            addresses,
+            Catalog(CONFIG),
+            3,
+            self.heard.put_nowait,
+            lambda job: self.tasks.append(asyncio.create_task(job)),
+            chance=random.Random(1),
         )
         self.discovery.start()
 
@@ -320,8 +328,12 @@
 def test_changes_of_an_address_that_lags_are_passed_over() -> None:
     async def job() -> None:
         ends = Watch(script(HEAD + chunk(catalog(9, [entry("s1", AT)])), stay=False))
-        lags = Watch(always(catalog(7, [entry("s1", AT, "DRAINING")], reset=False),
-                            catalog(10, [entry("s2", AT)], reset=False)))
+        lags = Watch(
+            always(
+                catalog(7, [entry("s1", AT, "DRAINING")], reset=False),
+                catalog(10, [entry("s2", AT)], reset=False),
+            )
+        )
         moved = Moved(await ends.start(), await lags.start())
         assert await versions(moved, 2) == [9, 10]
         moved.discovery.source.close()
@@ -336,8 +348,9 @@
     monkeypatch.setattr(discovery, "MOST_BACKOFF_S", 0.1)
 
     async def job() -> None:
-        ends = Watch(script(HEAD + chunk(catalog(9, [entry("s1", AT)])), stay=False),
-                     script(HEAD, stay=False))
+        ends = Watch(
+            script(HEAD + chunk(catalog(9, [entry("s1", AT)])), stay=False), script(HEAD, stay=False)
+        )
         older = Watch(always(catalog(4, [entry("s2", AT)])))
         moved = Moved(await ends.start(), await older.start())
         began = time.monotonic()
@@ -352,8 +365,10 @@
 
 def test_a_list_of_another_history_replaces_all_and_a_single_address_is_always_believed() -> None:
     async def job() -> None:
-        only = Watch(script(HEAD + chunk(catalog(9, [entry("s1", AT)])), stay=False),
-                     always(catalog(4, [entry("s2", AT)])))
+        only = Watch(
+            script(HEAD + chunk(catalog(9, [entry("s1", AT)])), stay=False),
+            always(catalog(4, [entry("s2", AT)])),
+        )
         moved = Moved(await only.start())
         assert await moved.names() == (i.ListKind.FULL, ["s1"])
         assert await moved.names() == (i.ListKind.FULL, ["s2"])
@@ -383,14 +398,17 @@
     assert "the watch on discovery is silent; the list is 0.3 s old" in caplog.text
 
 
-@pytest.mark.parametrize("pieces", [
-    [b"nonsense\r\n\r\n"],
-    [b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 100_000],  # a head without an end
-    [HEAD + chunk(b"{" * 600_000), chunk(b"{" * 600_000)],  # a line without an end
-    [HEAD + chunk(b'{"generation":')],  # half a line, and then silence
-    [HEAD + b"zz\r\n"],
-    [],  # an answer that never starts
-])
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        [b"nonsense\r\n\r\n"],
+        [b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 100_000],  # a head without an end
+        [HEAD + chunk(b"{" * 600_000), chunk(b"{" * 600_000)],  # a line without an end
+        [HEAD + chunk(b'{"generation":')],  # half a line, and then silence
+        [HEAD + b"zz\r\n"],
+        [],  # an answer that never starts
+    ],
+)
 def test_what_fails_is_bounded_and_the_next_address_serves(
     pieces: list[bytes], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -415,8 +433,14 @@
                 waits.append((a, b))
                 return 0.0
 
-        found = Discovery((refusing_address(),), Catalog(CONFIG), 0, lambda news: None,
-                          lambda job: asyncio.create_task(job), chance=Noted())
+        found = Discovery(
+            (refusing_address(),),
+            Catalog(CONFIG),
+            0,
+            lambda news: None,
+            lambda job: asyncio.create_task(job),
+            chance=Noted(),
+        )
         found.start()
         while len(waits) < 8:
             await asyncio.sleep(0.01)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,7 +21,8 @@
     first, *others = digest.notes
     assert first == i.Note(mark("s1"), 0.0, 0, 1)  # the bad news first
     assert {(note.server, round(note.lag, 3), note.oks, note.out) for note in others} == {
-        (mark("s0"), 0.3, 2, 0), (mark("s2"), 0.0, 0, 3),
+        (mark("s0"), 0.3, 2, 0),
+        (mark("s2"), 0.0, 0, 3),
     }
     assert fleet.news_for(7) is None and fleet.news_for(8) == digest
     fleet.close(2 * DIGEST_US - 1, [])
--- a/tests/test_keep.py
+++ b/tests/test_keep.py
@@ -29,11 +29,19 @@
 
 
 def snapshot(**changes: object) -> Snapshot:
-    return msgspec.structs.replace(Snapshot(
-        name=CONFIG.name, settings=settings_of(CONFIG), at_ms=NOW_MS, mark=3,
-        memory=i.Memory((i.KeptCustomer(*KEY, 2.0, 5.0, 0.0, 0.0),),
-                        (i.KeptSuspect("s1", 10, 20, 0.5),), 7.5),
-        known={"generation": 4, "instances": []}), **changes)
+    return msgspec.structs.replace(
+        Snapshot(
+            name=CONFIG.name,
+            settings=settings_of(CONFIG),
+            at_ms=NOW_MS,
+            mark=3,
+            memory=i.Memory(
+                (i.KeptCustomer(*KEY, 2.0, 5.0, 0.0, 0.0),), (i.KeptSuspect("s1", 10, 20, 0.5),), 7.5
+            ),
+            known={"generation": 4, "instances": []},
+        ),
+        **changes,
+    )
 
 
 def why_not(data: bytes, now_ms: int = NOW_MS, config: object = CONFIG) -> str:
@@ -109,10 +117,16 @@
     assert successor.gateway.n_past == 12 and successor.gateway.starts.restarted
 
 
-@pytest.mark.parametrize("age_us, customers, suspects, n", [
-    (0, 1, True, 7), (memory.CAP_US - 1, 1, True, 7), (memory.CAP_US, 1, True, None),
-    (memory.HEALTH_US - 1, 1, True, None), (memory.HEALTH_US, 1, False, None),
-])
+@pytest.mark.parametrize(
+    "age_us, customers, suspects, n",
+    [
+        (0, 1, True, 7),
+        (memory.CAP_US - 1, 1, True, 7),
+        (memory.CAP_US, 1, True, None),
+        (memory.HEALTH_US - 1, 1, True, None),
+        (memory.HEALTH_US, 1, False, None),
+    ],
+)
 def test_what_is_past_its_bound_is_not_used(
     age_us: int, customers: int, suspects: bool, n: int | None
 ) -> None:
@@ -129,9 +143,13 @@
     assert recalled(forget_us - 1).gateway.customers and not recalled(forget_us).gateway.customers
 
 
-@pytest.mark.parametrize("odd", [
-    i.KeptCustomer(7, 9, 0, 2, 1.0, 1.0, 0.0, 0.0), i.KeptCustomer(7, 0, 0, 0, 1.0, 1.0, 0.0, 0.0),
-])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        i.KeptCustomer(7, 9, 0, 2, 1.0, 1.0, 0.0, 0.0),
+        i.KeptCustomer(7, 0, 0, 0, 1.0, 1.0, 0.0, 0.0),
+    ],
+)
 def test_a_customer_that_cannot_be_is_passed_over(odd: i.KeptCustomer) -> None:
     assert not recalled(0, customers=(odd,)).gateway.customers
 
@@ -185,9 +203,7 @@
     run(act())
 
 
-def test_an_old_snapshot_is_good_for_its_list_alone(
-    tmp_path: Path, caplog: pytest.LogCaptureFixture
-) -> None:
+def test_an_old_snapshot_is_good_for_its_list_alone(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
     async def act() -> None:
         async with front_door(Backend()) as (door, _):
             first = keeper(tmp_path)
@@ -240,7 +256,8 @@
     found.write(snapshot(at_ms=3))
     assert (tmp_path / "door").read_bytes() == before
     assert [record.message for record in caplog.records] == [
-        "no snapshot can be written: No space left on device"]
+        "no snapshot can be written: No space left on device"
+    ]
     monkeypatch.undo()
     found.write(snapshot(at_ms=4))
     assert (tmp_path / "door").read_bytes() == pack(snapshot(at_ms=4)) and not found.failing
@@ -274,8 +291,12 @@
     state.mkdir()
     (state / "starts").write_bytes(msgspec.msgpack.encode([now - 0.3, now - 0.2, now - 0.1, now]))
     environment = write_config(tmp_path, values_of(state_dir=str(state), listen=f"{HOST}:1"))
-    process = subprocess.Popen([sys.executable, "-m", "molereach"], env={**os.environ, **environment},
-                               stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "molereach"],
+        env={**os.environ, **environment},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     try:
         said = process.stderr.readline()
         assert "has started again and again: it waits for" in said
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -49,20 +49,23 @@
 # --- scenarios ---
 
 
-@pytest.mark.parametrize("text, words", [
-    ('name = "x"\nbogus = 1', "bogus"),
-    ('name = "x"\n[servers]\ncuont = 1', "cuont"),
-    ('name = "x"\ndoors = 0', "doors"),
-    ('name = "x"\ndoors = "two"', "doors"),
-    ('name = "x"\n[demand]\nload = [0.9, 0.1]', "load goes from 0.9 down to 0.1"),
-    ('name = "x"\n[[troubles]]\nkind = "meteor"', "meteor"),
-    ('name = "x"\n[[troubles]]\nkind = "zone_cut"\nzone = 7', "hall 7 of 2"),
-    ('name = "x"\nlength_s = 3\n[[troubles]]\nkind = "burst"\nat_s = 4', "after the day's end"),
-    ('name = "x"\nclasses = []', "a class"),
-    ("name = ", "Invalid value"),
-    ('doors = 3', "name"),
-    ("\xff", "x.toml"),
-])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ('name = "x"\nbogus = 1', "bogus"),
+        ('name = "x"\n[servers]\ncuont = 1', "cuont"),
+        ('name = "x"\ndoors = 0', "doors"),
+        ('name = "x"\ndoors = "two"', "doors"),
+        ('name = "x"\n[demand]\nload = [0.9, 0.1]', "load goes from 0.9 down to 0.1"),
+        ('name = "x"\n[[troubles]]\nkind = "meteor"', "meteor"),
+        ('name = "x"\n[[troubles]]\nkind = "zone_cut"\nzone = 7', "hall 7 of 2"),
+        ('name = "x"\nlength_s = 3\n[[troubles]]\nkind = "burst"\nat_s = 4', "after the day's end"),
+        ('name = "x"\nclasses = []', "a class"),
+        ("name = ", "Invalid value"),
+        ("doors = 3", "name"),
+        ("\xff", "x.toml"),
+    ],
+)
 def test_a_wrong_scenario_is_one_line_that_names_what(text: str, words: str) -> None:
     with pytest.raises(ModelError) as error:
         scenarios.parse(text.encode("latin-1"), "x.toml")
@@ -92,8 +95,16 @@
 
 def server(cold: bool = False, **changes: object) -> tuple[Clock, ScanServer, list[tuple[int, str]]]:
     spec = msgspec.structs.replace(
-        SMALL.servers, speed=(1, 1), speed_cv=(0, 0), thrash=(0, 0), full_tax=(0, 0), error_rate=(0, 0),
-        slots=(2, 2), queue=(2, 2), **changes)
+        SMALL.servers,
+        speed=(1, 1),
+        speed_cv=(0, 0),
+        thrash=(0, 0),
+        full_tax=(0, 0),
+        error_rate=(0, 0),
+        slots=(2, 2),
+        queue=(2, 2),
+        **changes,
+    )
     clock = Clock(100 * S)
     traits = Traits(msgspec.structs.replace(SMALL, servers=spec), Stream(1, "servers"))
     return clock, ScanServer(clock, traits, Stream(1, "s"), "s", (0, 0), 50 * MS, cold), []
@@ -258,6 +269,7 @@
 
 def broken_by(monkeypatch: pytest.MonkeyPatch, change: object, scenario: Scenario = SMALL) -> set[str]:
     """The rules that a module whose actions are changed so is found to break."""
+
     class Changed(Watched):
         def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
             return change(event, super().handle(now_us, event))
@@ -268,14 +280,18 @@
 
 def test_each_rule_that_a_module_breaks_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     def twice(event: i.Event, actions: list[i.Action]) -> list[i.Action]:
-        return [again for action in actions
-                for again in ([action, action] if isinstance(action, i.Send) else [action])]
+        return [
+            again
+            for action in actions
+            for again in ([action, action] if isinstance(action, i.Send) else [action])
+        ]
 
     assert "two attempts out at once" in broken_by(monkeypatch, twice)
 
     def nowhere(event: i.Event, actions: list[i.Action]) -> list[i.Action]:
-        return [i.Send(action.id, "nowhere", 0) if isinstance(action, i.Send) else action
-                for action in actions]
+        return [
+            i.Send(action.id, "nowhere", 0) if isinstance(action, i.Send) else action for action in actions
+        ]
 
     assert "a server that no list named" in broken_by(monkeypatch, nowhere)
 
@@ -285,20 +301,26 @@
     assert "no answer in time" in broken_by(monkeypatch, silent)
 
     def both(event: i.Event, actions: list[i.Action]) -> list[i.Action]:
-        return [again for action in actions
-                for again in ([action, i.Refuse(action.id)] if isinstance(action, i.Send) else [action])]
+        return [
+            again
+            for action in actions
+            for again in ([action, i.Refuse(action.id)] if isinstance(action, i.Send) else [action])
+        ]
 
     assert "refused though it may have run" in broken_by(monkeypatch, both)
 
 
 def test_sending_to_what_has_gone_and_past_a_ceiling_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     leaving = msgspec.structs.replace(
-        SMALL, troubles=(Trouble(kind="shrink", at_s=0.2, for_s=0.1, part=0.7),))
+        SMALL, troubles=(Trouble(kind="shrink", at_s=0.2, for_s=0.1, part=0.7),)
+    )
     turns = itertools.count()
 
     def stubborn(event: i.Event, actions: list[i.Action]) -> list[i.Action]:
-        return [i.Send(action.id, f"s-000{next(turns) % 4}", 0) if isinstance(action, i.Send) else action
-                for action in actions]
+        return [
+            i.Send(action.id, f"s-000{next(turns) % 4}", 0) if isinstance(action, i.Send) else action
+            for action in actions
+        ]
 
     assert "sent to a server that drains or is gone" in broken_by(monkeypatch, stubborn, leaving)
 
@@ -321,9 +343,29 @@
     assert not day.books.breaks and all(door.alive for door in day.doors)
 
 
-@pytest.mark.parametrize("kind", sorted(
-    ["burst", "kill_doors", "restart_doors", "release", "zone_loss", "zone_cut", "silent", "bad", "slow",
-     "messages_lost", "lists_late", "hot_customers", "one_shots", "drop_answers", "errors_fast", "shrink"]))
+@pytest.mark.parametrize(
+    "kind",
+    sorted(
+        [
+            "burst",
+            "kill_doors",
+            "restart_doors",
+            "release",
+            "zone_loss",
+            "zone_cut",
+            "silent",
+            "bad",
+            "slow",
+            "messages_lost",
+            "lists_late",
+            "hot_customers",
+            "one_shots",
+            "drop_answers",
+            "errors_fast",
+            "shrink",
+        ]
+    ),
+)
 def test_each_trouble_changes_the_day_and_breaks_no_rule(kind: str) -> None:
     trouble = Trouble(kind=kind, at_s=0.5, for_s=2, part=0.4, size=0.8 if kind != "slow" else 6.0)
     day, usual = play(msgspec.structs.replace(SMALL, troubles=(trouble,)), 5), play(SMALL, 5)
--- a/tests/test_model_experiment.py
+++ b/tests/test_model_experiment.py
@@ -27,8 +27,15 @@
 
 
 def model(*words: str, **more: object) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "model", *words], cwd=ROOT, capture_output=True, text=True,
-                          timeout=120, check=False, **more)
+    return subprocess.run(
+        [sys.executable, "-m", "model", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+        **more,
+    )
 
 
 def test_a_run_is_json_lines_and_its_total_comes_last(tiny: str) -> None:
@@ -41,18 +48,21 @@
     assert short.stdout.splitlines() == done.stdout.splitlines()[-1:]
 
 
-@pytest.mark.parametrize("words, said", [
-    (["run", "nowhere.toml"], "nowhere.toml"),
-    (["run", "clam"], "no scenario 'clam'"),
-    (["run"], "SCENARIO"),
-    (["run", "calm", "--seed", "x"], "--seed"),
-    (["run", "calm", "--set", "NOPE=1"], "no constant 'NOPE'"),
-    (["run", "calm", "--set", "CHOICES"], "not NAME=NUMBER"),
-    (["compare", "no-such-revision", "calm"], "no-such-revision"),
-    (["sweep", "CHOICES", "calm", "--values", "3"], "two or more"),
-    (["sweep", "NOPE", "calm", "--values", "3,4"], "no constant"),
-    (["bogus"], "bogus"),
-])
+@pytest.mark.parametrize(
+    "words, said",
+    [
+        (["run", "nowhere.toml"], "nowhere.toml"),
+        (["run", "clam"], "no scenario 'clam'"),
+        (["run"], "SCENARIO"),
+        (["run", "calm", "--seed", "x"], "--seed"),
+        (["run", "calm", "--set", "NOPE=1"], "no constant 'NOPE'"),
+        (["run", "calm", "--set", "CHOICES"], "not NAME=NUMBER"),
+        (["compare", "no-such-revision", "calm"], "no-such-revision"),
+        (["sweep", "CHOICES", "calm", "--values", "3"], "two or more"),
+        (["sweep", "NOPE", "calm", "--values", "3,4"], "no constant"),
+        (["bogus"], "bogus"),
+    ],
+)
 def test_bad_input_is_one_line_and_exit_code_2(words: list[str], said: str) -> None:
     done = model(*words)
     assert done.returncode == 2 and done.stdout == ""
@@ -69,12 +79,17 @@
 
 def test_a_sweep_pairs_by_seed_and_keeps_its_totals(tiny: str, tmp_path: Path) -> None:
     out = tmp_path / "totals.jsonl"
-    done = model("sweep", "OUT_PER_SERVER", tiny, "--values", "5,1", "--seeds", "2", "--jobs", "2",
-                 "--out", str(out))
+    done = model(
+        "sweep", "OUT_PER_SERVER", tiny, "--values", "5,1", "--seeds", "2", "--jobs", "2", "--out", str(out)
+    )
     assert done.returncode == 0, done.stderr
     kept = [msgspec.json.decode(line) for line in out.read_bytes().splitlines()]
     assert sorted((total["side"], total["seed"]) for total in kept) == [
-        ("1", 1), ("1", 2), ("5", 1), ("5", 2)]
+        ("1", 1),
+        ("1", 2),
+        ("5", 1),
+        ("5", 2),
+    ]
     assert "OUT_PER_SERVER = 5 against 1" in done.stdout and "in 2 pairs" in done.stdout
     assert "4 of 4" in done.stderr
 
@@ -83,9 +98,26 @@
     path, out = tmp_path / "long.toml", tmp_path / "totals.jsonl"
     path.write_text(dump(TINY))
     process = subprocess.Popen(
-        [sys.executable, "-m", "model", "sweep", "OUT_PER_SERVER", str(path), "--values", "5,4",
-         "--seeds", "500", "--jobs", "2", "--out", str(out)],
-        cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        [
+            sys.executable,
+            "-m",
+            "model",
+            "sweep",
+            "OUT_PER_SERVER",
+            str(path),
+            "--values",
+            "5,4",
+            "--seeds",
+            "500",
+            "--jobs",
+            "2",
+            "--out",
+            str(out),
+        ],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
     deadline = time.monotonic() + 60
     while time.monotonic() < deadline and not (out.exists() and out.read_bytes().count(b"\n") >= 2):
         time.sleep(0.05)
@@ -127,11 +159,24 @@
     assert bootstrap([-0.1, 0.1, -0.1, 0.1]).low < 0 < bootstrap([-0.1, 0.1, -0.1, 0.1]).high
     with pytest.raises(ModelError):
         bootstrap([])
-    base = {"asks": 10, "whole": 1, "worst_10s": 1, "prices": {"over_quota": 0}, "tries": 10, "attempts": 10,
-            "handshakes": 1, "messages": {"arrived": 3, "intake full": 1}, "broken": {}, "units_beyond": 0,
-            "refused": {"half unused, ceiling, word": 3, "half unused, home": 2, "beyond quota": 4}}
-    results = [{**base, "side": side, "seed": seed, "g": seed / 10 + extra}
-               for seed in (1, 2, 3) for side, extra in (("a", 0.0), ("b", 0.05))]
+    base = {
+        "asks": 10,
+        "whole": 1,
+        "worst_10s": 1,
+        "prices": {"over_quota": 0},
+        "tries": 10,
+        "attempts": 10,
+        "handshakes": 1,
+        "messages": {"arrived": 3, "intake full": 1},
+        "broken": {},
+        "units_beyond": 0,
+        "refused": {"half unused, ceiling, word": 3, "half unused, home": 2, "beyond quota": 4},
+    }
+    results = [
+        {**base, "side": side, "seed": seed, "g": seed / 10 + extra}
+        for seed in (1, 2, 3)
+        for side, extra in (("a", 0.0), ("b", 0.05))
+    ]
     rows = {name: (before, after, interval) for name, before, after, interval in table(results, "a", "b")}
     assert rows["g"][2].median == pytest.approx(0.05) and rows["messages lost"][0] == pytest.approx(0.25)
     assert rows["refused, ceiling half unused"][0] == pytest.approx(0.3)
@@ -159,6 +204,7 @@
 
 def test_a_search_keeps_what_breaks_a_rule_made_small(tmp_path: Path) -> None:
     """A rule that needs a killed door and two servers: all else is taken out of what is kept."""
+
     def broken(scenario: Scenario, seed: int) -> str:
         killed = any(trouble.kind == "kill_doors" for trouble in scenario.troubles)
         return "a rule" if killed and scenario.servers.count >= 2 else ""
--- a/tests/test_model_fidelity.py
+++ b/tests/test_model_fidelity.py
@@ -12,8 +12,11 @@
 
 def plays(bench: str, **gains: float) -> list[Figure]:
     """Two days on which each revision has so much more G than the base's 0.5 and 0.7."""
-    return [Figure(bench, "zone", seed, rev, base + gain)
-            for seed, base in ((1, 0.5), (2, 0.7)) for rev, gain in {"base": 0.0, **gains}.items()]
+    return [
+        Figure(bench, "zone", seed, rev, base + gain)
+        for seed, base in ((1, 0.5), (2, 0.7))
+        for rev, gain in {"base": 0.0, **gains}.items()
+    ]
 
 
 def test_ranks_and_their_correlation() -> None:
--- a/tests/test_model_kept.py
+++ b/tests/test_model_kept.py
@@ -13,16 +13,24 @@
 from model.kept import LEASE_US
 from model.scenario import Demand, Net, Scenario, Servers, Trouble, dump
 
-FLEET = Scenario(name="kept", doors=8, length_s=10, stretch=1.7, servers=Servers(count=8), net=Net(zones=4),
-                 demand=Demand(load=(0.6, 0.6)),
-                 troubles=(Trouble(kind="kill_doors", at_s=3, part=0.7), Trouble(kind="kill_doors", at_s=6,
-                                                                              part=0.5)))
+FLEET = Scenario(
+    name="kept",
+    doors=8,
+    length_s=10,
+    stretch=1.7,
+    servers=Servers(count=8),
+    net=Net(zones=4),
+    demand=Demand(load=(0.6, 0.6)),
+    troubles=(Trouble(kind="kill_doors", at_s=3, part=0.7), Trouble(kind="kill_doors", at_s=6, part=0.5)),
+)
 
 
 @pytest.fixture(scope="module")
 def plays() -> dict[bool, list[Day]]:
-    return {kept: [days.play(msgspec.structs.replace(FLEET, takeover=kept), seed) for seed in range(1, 9)]
-            for kept in (False, True)}
+    return {
+        kept: [days.play(msgspec.structs.replace(FLEET, takeover=kept), seed) for seed in range(1, 9)]
+        for kept in (False, True)
+    }
 
 
 def test_what_is_kept_runs_in_one_hall_and_breaks_no_rule(plays: dict[bool, list[Day]]) -> None:
@@ -51,8 +59,14 @@
     path = tmp_path / "small.toml"
     path.write_text(dump(msgspec.structs.replace(FLEET, length_s=6, doors=4, servers=Servers(count=4))))
     words = ["takeover", str(path), "--seeds", "1", "--jobs", "2"]
-    done = subprocess.run([sys.executable, "-m", "model", *words], cwd=ROOT, capture_output=True,
-                          text=True, timeout=120, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "model", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
     assert done.returncode == 0, done.stderr
     assert "lost against kept" in done.stdout and "keyed in two halls" in done.stdout
     assert "most a second" in done.stdout.splitlines()[-1]
--- a/tests/test_model_leased.py
+++ b/tests/test_model_leased.py
@@ -14,10 +14,20 @@
 
 # Ceilings below the quotas, so that it is they that bind.
 LOW = tuple(msgspec.structs.replace(plan, ceiling=(0.4, 0.5)) if plan.ceiling else plan for plan in PLANS)
-FLEET = Scenario(name="leased", doors=8, length_s=8, leased=True, servers=Servers(count=8), net=Net(zones=2),
-                 plans=LOW, demand=Demand(load=(0.6, 0.6), full=(0.9, 0.9)),
-                 troubles=(Trouble(kind="kill_doors", at_s=3, part=0.5),
-                           Trouble(kind="hot_customers", at_s=1, for_s=6, part=0.5, size=2.0)))
+FLEET = Scenario(
+    name="leased",
+    doors=8,
+    length_s=8,
+    leased=True,
+    servers=Servers(count=8),
+    net=Net(zones=2),
+    plans=LOW,
+    demand=Demand(load=(0.6, 0.6), full=(0.9, 0.9)),
+    troubles=(
+        Trouble(kind="kill_doors", at_s=3, part=0.5),
+        Trouble(kind="hot_customers", at_s=1, for_s=6, part=0.5, size=2.0),
+    ),
+)
 
 
 @pytest.fixture(scope="module")
@@ -53,8 +63,14 @@
     path = tmp_path / "x.toml"
     path.write_text(dump(msgspec.structs.replace(FLEET, length_s=3, troubles=())))
     assert parse(path.read_bytes(), "x") == msgspec.structs.replace(FLEET, length_s=3, troubles=())
-    done = subprocess.run([sys.executable, "-m", "model", "leases", str(path), "--seeds", "1", "--jobs", "2"],
-                          cwd=ROOT, capture_output=True, text=True, timeout=120, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "model", "leases", str(path), "--seeds", "1", "--jobs", "2"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
     assert done.returncode == 0 and "refused, ceiling half unused" in done.stdout
     assert "asks of the steward" in done.stdout
 
@@ -62,8 +78,9 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_quotas_by_leases_cost_nothing_beyond_them_and_serve_as_well(seed: int) -> None:
     """A customer's share of the burst at each of many doors is less than a unit: whole units go round."""
-    plain = Scenario(name="fleet", doors=17, length_s=8, servers=Servers(count=12),
-                     demand=Demand(load=(0.5, 0.5)))
+    plain = Scenario(
+        name="fleet", doors=17, length_s=8, servers=Servers(count=12), demand=Demand(load=(0.5, 0.5))
+    )
     leased = msgspec.structs.replace(plain, leased_quotas=True)
     words, leases = days.play(plain, seed), days.play(leased, seed)
     assert not leases.books.breaks and leases.books.check() == []
--- a/tests/test_model_recovery.py
+++ b/tests/test_model_recovery.py
@@ -6,8 +6,13 @@
 from model.day import Day, play
 from model.scenario import Demand, Net, Scenario, Servers, Trouble
 
-FLEET = Scenario(name="fleet", doors=24, length_s=9, servers=Servers(count=16, connections=40),
-                 demand=Demand(load=(0.5, 0.5)))
+FLEET = Scenario(
+    name="fleet",
+    doors=24,
+    length_s=9,
+    servers=Servers(count=16, connections=40),
+    demand=Demand(load=(0.5, 0.5)),
+)
 
 
 def after(troubles: list[Trouble], seed: int = 1, **changes: object) -> Day:
@@ -19,8 +24,10 @@
 
 def served(day: Day, since_s: int, until_s: int) -> float:
     """The share of what was offered in those seconds that was earned."""
-    sums = [sum(value for key, value in values.items() if since_s <= key[0] < until_s)
-            for values in (day.books.earned, day.books.offered)]
+    sums = [
+        sum(value for key, value in values.items() if since_s <= key[0] < until_s)
+        for values in (day.books.earned, day.books.offered)
+    ]
     return sums[0] / sums[1]
 
 
@@ -44,8 +51,10 @@
 
 
 def test_six_in_ten_servers_are_replaced_under_short_tables_of_connections() -> None:
-    day = after([Trouble(kind="release", at_s=2, for_s=3, part=0.6)],
-                servers=Servers(count=16, connections=30, handshake_us=(1500, 1500)))
+    day = after(
+        [Trouble(kind="release", at_s=2, for_s=3, part=0.6)],
+        servers=Servers(count=16, connections=30, handshake_us=(1500, 1500)),
+    )
     assert len(day.servers) == 16 + 10
     assert day.books.handshakes < 0.6 * day.books.asks
     assert served(day, 7, 9) > 0.6
@@ -81,8 +90,10 @@
 def test_doors_that_stored_what_they_knew_spend_no_burst_again(seed: int) -> None:
     """All at once, customers past their quotas: with nothing stored, nobody knows what was spent."""
     past = {"demand": Demand(load=(0.5, 0.5), heavy=(0.9, 0.9), heavy_x=(2, 3))}
-    kill = {state: Trouble(kind="kill_doors", at_s=4, part=1, back_s=(0.5, 1), state=state)
-            for state in ("kept", "none", "stale")}
+    kill = {
+        state: Trouble(kind="kill_doors", at_s=4, part=1, back_s=(0.5, 1), state=state)
+        for state in ("kept", "none", "stale")
+    }
     found = {state: after([trouble], seed, stored=True, **past) for state, trouble in kill.items()}
     assert takes_up(found["kept"]) == set(range(FLEET.doors))
     assert not takes_up(found["none"]) and not takes_up(found["stale"])
@@ -93,6 +104,9 @@
 
 def test_a_planned_end_stores_what_is_known_then() -> None:
     day = after([Trouble(kind="restart_doors", at_s=2, for_s=2)], stored=True, length_s=12)
-    ages = [float(text.split(" s ago")[0].rpartition(" ")[2]) for _, _, text in day.books.logged
-            if "takes up a snapshot" in text]
+    ages = [
+        float(text.split(" s ago")[0].rpartition(" ")[2])
+        for _, _, text in day.books.logged
+        if "takes up a snapshot" in text
+    ]
     assert len(ages) == FLEET.doors and all(age == 0.4 for age in ages)  # what a restart takes
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,22 +30,36 @@
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
-    "me": 0, "balancers": 2, "zones": ["a", "b"], "kinds": ["m2"],
+    "me": 0,
+    "balancers": 2,
+    "zones": ["a", "b"],
+    "kinds": ["m2"],
     "plans": [{"name": "team", "units-per-s": 9}],
     "categories": [
         {"name": "read", "on-time-us": 750000, "deadline-us": 2000000, "idempotency": "read_like"},
         {"name": "settle", "on-time-us": 750000, "deadline-us": 2000000, "idempotency": "non_idempotent"},
     ],
-    "ceilings": {"max-attempts": 4, "conn-idle-us": 7000000, "retry-after": True,
-                 "max-retry-after-us": 500000},
+    "ceilings": {
+        "max-attempts": 4,
+        "conn-idle-us": 7000000,
+        "retry-after": True,
+        "max-retry-after-us": 500000,
+    },
     "stats": {"how": "inline", "names": ["util", "latency_ms"]},
 }
 
 
 def config(**changes: object) -> dict[str, object]:
     known = json.loads(catalog(4, []))
-    values = {"name": "n0", "listen": f"{HOST}:7", "discovery": f"{HOST}:8", "seed": "8c1f30d27a5be964",
-              "limits": {"sockets": 512}, "known": known, "settings": SETTINGS}
+    values = {
+        "name": "n0",
+        "listen": f"{HOST}:7",
+        "discovery": f"{HOST}:8",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 512},
+        "known": known,
+        "settings": SETTINGS,
+    }
     return {key: value for key, value in {**values, **changes}.items() if value is not None}
 
 
@@ -65,17 +79,33 @@
     assert found.conn_idle_us == 7_000_000 and found.connect_timeout_us == 250_000
 
 
-@pytest.mark.parametrize("values", [
-    "{", "[]", {}, config(settings={}), config(seed="xyz"), config(listen="nowhere"), config(discovery=None),
-    config(settings={**SETTINGS, "me": 2}), config(settings={**SETTINGS, "plans": []}),
-    config(settings={**SETTINGS, "categories": [{"name": "read", "idempotency": "what"}]}),
-    config(peers=["x:y"]), None,
-])
+@pytest.mark.parametrize(
+    "values",
+    [
+        "{",
+        "[]",
+        {},
+        config(settings={}),
+        config(seed="xyz"),
+        config(listen="nowhere"),
+        config(discovery=None),
+        config(settings={**SETTINGS, "me": 2}),
+        config(settings={**SETTINGS, "plans": []}),
+        config(settings={**SETTINGS, "categories": [{"name": "read", "idempotency": "what"}]}),
+        config(peers=["x:y"]),
+        None,
+    ],
+)
 def test_unusable_configuration_is_one_plain_line(tmp_path: Path, values: object) -> None:
     env = {key: text for key, text in os.environ.items() if not key.startswith("PROXY_")}
     env |= write(tmp_path, values) if values is not None else {}
     done = subprocess.run(
-        [sys.executable, "-m", "molereach"], cwd=ROOT, env=env, capture_output=True, text=True, check=False,
+        [sys.executable, "-m", "molereach"],
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+        check=False,
         timeout=60,
     )
     assert done.returncode == 2
@@ -89,7 +119,11 @@
     known = json.loads(catalog(4, [entry("s1", await backend.start())]))
     values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known)
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "molereach", cwd=ROOT, env={**os.environ, **write(tmp_path, values), **env},
+        sys.executable,
+        "-m",
+        "molereach",
+        cwd=ROOT,
+        env={**os.environ, **write(tmp_path, values), **env},
         stderr=asyncio.subprocess.PIPE,
     )
     while b"serves at" not in await process.stderr.readline():
@@ -162,7 +196,11 @@
         taken = await Backend().start()
         values = config(listen=f"{HOST}:{taken[1]}")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "molereach", cwd=ROOT, env={**os.environ, **write(tmp_path, values)},
+            sys.executable,
+            "-m",
+            "molereach",
+            cwd=ROOT,
+            env={**os.environ, **write(tmp_path, values)},
             stderr=asyncio.subprocess.PIPE,
         )
         _, errors = await process.communicate()
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -116,8 +116,13 @@
     world = Referee(replace(SETTINGS, classes=CLASSES, plans=PLANS, parallel_tries=parallel))
     for count, (kind, number, wait) in enumerate(steps):
         if kind <= 4:
-            world.ask(f"q{count}", left_us=number * 100, class_index=kind, plan_index=number % 3,
-                      customer=f"c{number % 3}")
+            world.ask(
+                f"q{count}",
+                left_us=number * 100,
+                class_index=kind,
+                plan_index=number % 3,
+                customer=f"c{number % 3}",
+            )
         elif kind <= 7 and world.out:
             key = list(world.out)[number % len(world.out)]
             world.settle(key, i.Result.OK if kind == 5 else FAILURES[number % len(FAILURES)])
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -9,11 +9,26 @@
 
 WORDS = st.lists(
     st.one_of(st.binary(max_size=20), st.sampled_from([b"\r\n", b"$1", b"*1\r\n$1\r\nx", b"PING"])),
-    min_size=1, max_size=12,
+    min_size=1,
+    max_size=12,
+)
+PIECES = st.sampled_from(
+    [
+        b"*1\r\n",
+        b"*2\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"$1\r\n",
+        b"$01\r\n",
+        b"$-1\r\n",
+        b"x\r\n",
+        b"\r\n",
+        b"$4\r\nPING\r\n",
+        b"*1\r\n$4\r\nPING\r\n",
+        b"*3\r\n",
+        b"$5\r\na\r\nbc\r\n",
+    ]
 )
-PIECES = st.sampled_from([b"*1\r\n", b"*2\r\n", b"*0\r\n", b"*-1\r\n", b"$1\r\n", b"$01\r\n", b"$-1\r\n",
-                          b"x\r\n", b"\r\n", b"$4\r\nPING\r\n", b"*1\r\n$4\r\nPING\r\n", b"*3\r\n",
-                          b"$5\r\na\r\nbc\r\n"])
 
 
 def outcome(reader: Reader, step: str) -> tuple[object, bytes]:
--- a/tests/test_rig_checks.py
+++ b/tests/test_rig_checks.py
@@ -17,9 +17,19 @@
 PLANS = [plan.name for plan in FLEET.plans]
 
 
-def ask(name: str, at: int, door: int = 0, server: str = "servers-0", zone: int = 0, took: int = 50 * MS,
-        kind: str = "submit-record", customer: str = "c", plan: str = "basic", how: str = "served",
-        serial: int = 0) -> list[Record]:
+def ask(
+    name: str,
+    at: int,
+    door: int = 0,
+    server: str = "servers-0",
+    zone: int = 0,
+    took: int = 50 * MS,
+    kind: str = "submit-record",
+    customer: str = "c",
+    plan: str = "basic",
+    how: str = "served",
+    serial: int = 0,
+) -> list[Record]:
     """One request on its way through a door and a scan server and back."""
     key = name if kind == "submit-record" else ""
     same = {"id": name, "customer": customer, "key": key, "class": kind, "plan": plan}
@@ -29,8 +39,19 @@
         {"at": at + 2 * MS, "kind": "came", "server": server, "zone": zone, "serial": serial or at, **same},
         {"at": at + took, "kind": "left", "server": server, "serial": serial or at, "how": how},
         {"at": at + took + MS, "kind": "end", "id": name, "how": how, "wait_us": 0},
-        {"at": at + took + 2 * MS, "kind": "ask", "first_us": at, "customer": customer, "worth": 3.0,
-         "ideal": True, "tries": 1, "served": name, "in_time": True, "class": kind, "plan": plan},
+        {
+            "at": at + took + 2 * MS,
+            "kind": "ask",
+            "first_us": at,
+            "customer": customer,
+            "worth": 3.0,
+            "ideal": True,
+            "tries": 1,
+            "served": name,
+            "in_time": True,
+            "class": kind,
+            "plan": plan,
+        },
     ]
 
 
@@ -40,13 +61,21 @@
 
 
 def told(at: int, lifecycle: str, whole: bool = False, **others: str) -> Record:
-    return {"at": at, "kind": "told", "door": "doors-0", "generation": 1, "whole": whole,
-            "servers": {"servers-0": lifecycle, **others}}
+    return {
+        "at": at,
+        "kind": "told",
+        "door": "doors-0",
+        "generation": 1,
+        "whole": whole,
+        "servers": {"servers-0": lifecycle, **others},
+    }
 
 
 def fault(kind: str, begin: int, end: int, *struck: str, number: int = 0) -> list[Record]:
-    return [{"at": begin, "kind": "fault", "fault": kind, "number": number, "struck": list(struck)},
-            {"at": end, "kind": "undone", "fault": kind, "number": number, "struck": list(struck)}]
+    return [
+        {"at": begin, "kind": "fault", "fault": kind, "number": number, "struck": list(struck)},
+        {"at": end, "kind": "undone", "fault": kind, "number": number, "struck": list(struck)},
+    ]
 
 
 def log(at: int, text: str, level: str = "INFO") -> Record:
@@ -54,11 +83,14 @@
 
 
 GO = {"at": 0, "kind": "go", "start_us": 0, "end_us": 10 * S}
-KILLED = [*fault("kill", 4 * S, 5 * S, "doors-0"),
-          {"at": 4 * S, "kind": "died", "who": "doors-0", "meant": True, "code": -9},
-          {"at": 5 * S, "kind": "started", "who": "doors-0", "cold": True}]
+KILLED = [
+    *fault("kill", 4 * S, 5 * S, "doors-0"),
+    {"at": 4 * S, "kind": "died", "who": "doors-0", "meant": True, "code": -9},
+    {"at": 5 * S, "kind": "started", "who": "doors-0", "cold": True},
+]
 CALM: list[Record] = [
-    GO, told(0, "SERVING", whole=True, **{"servers-1": "SERVING"}),
+    GO,
+    told(0, "SERVING", whole=True, **{"servers-1": "SERVING"}),
     *(record for n in range(20) for record in ask(f"r{n}", n * S // 4, door=n % 2, customer=f"c{n}")),
 ]
 NONE = {"at": 9 * S, "kind": "end", "id": "x", "how": "unreached", "wait_us": 0}
@@ -72,16 +104,31 @@
 def test_a_history_in_order_breaks_nothing() -> None:
     assert found() == set()
     assert set(CHECKS) == {
-        "one_answer", "executions", "kept_work", "one_attempt", "drains", "quotas", "budgets", "further",
-        "stale", "processes"}
+        "one_answer",
+        "executions",
+        "kept_work",
+        "one_attempt",
+        "drains",
+        "quotas",
+        "budgets",
+        "further",
+        "stale",
+        "processes",
+    }
 
 
 LOST = ask("x", 8 * S)
 PLANTED: list[tuple[str, list[Record]]] = [
     ("one answer", [*LOST, {**LOST[4], "at": 8 * S + 90 * MS}]),
     ("one answer", [{"at": 8 * S, "kind": "extra", "data": "'+OK'"}]),
-    ("one answer", [*LOST[:4], {"at": 10 * S, "kind": "end", "id": "x", "how": "gone", "wait_us": 0},
-                    {"at": 11 * S, "kind": "lost", "id": "x"}]),
+    (
+        "one answer",
+        [
+            *LOST[:4],
+            {"at": 10 * S, "kind": "end", "id": "x", "how": "gone", "wait_us": 0},
+            {"at": 11 * S, "kind": "lost", "id": "x"},
+        ],
+    ),
     ("one answer", [*LOST[:4], NONE]),
     ("one answer", LOST[:4]),
     ("executions", [*LOST, *again("x", 8 * S + 60 * MS, server="servers-1", zone=1)]),
@@ -89,12 +136,31 @@
     ("one attempt", [*ask("x", 8 * S, took=400 * MS), *again("x", 8 * S + 100 * MS, server="servers-1")]),
     ("drains", [told(8 * S, "DRAINING"), *ask("x", 8 * S + 400 * MS)]),
     ("drains", [told(8 * S, "DELETED"), *ask("x", 8 * S + 400 * MS)]),
-    ("drains", [{**told(8 * S, "SERVING", whole=True), "servers": {"servers-1": "SERVING"}},
-                *ask("x", 8 * S + 400 * MS)]),
-    ("quotas", [record for n in range(400) for record in
-                ask(f"x{n}", 6 * S + n * MS, kind="view-sheet", customer="greedy", plan="standard")]),
-    ("ceilings", [record for n in range(400) for record in
-                  ask(f"x{n}", 6 * S + n * MS, kind="view-sheet", customer="greedy", plan="institution")]),
+    (
+        "drains",
+        [
+            {**told(8 * S, "SERVING", whole=True), "servers": {"servers-1": "SERVING"}},
+            *ask("x", 8 * S + 400 * MS),
+        ],
+    ),
+    (
+        "quotas",
+        [
+            record
+            for n in range(400)
+            for record in ask(f"x{n}", 6 * S + n * MS, kind="view-sheet", customer="greedy", plan="standard")
+        ],
+    ),
+    (
+        "ceilings",
+        [
+            record
+            for n in range(400)
+            for record in ask(
+                f"x{n}", 6 * S + n * MS, kind="view-sheet", customer="greedy", plan="institution"
+            )
+        ],
+    ),
     ("stale state", [log(8 * S, "takes up a snapshot of 3600.0 s ago: 4 customers")]),
     ("processes", [{"at": 8 * S, "kind": "died", "who": "doors-1", "meant": False, "code": 1}]),
     ("processes", [log(8 * S, "the module failed on Timer()", "ERROR")]),
@@ -109,32 +175,52 @@
     assert found(*records) in ({rule}, {rule, "quotas"} if rule == "ceilings" else {rule})
 
 
-@pytest.mark.parametrize("records", [
-    [*ask("x", 4 * S - MS)[:4], {**NONE, "at": 4 * S + MS}, *KILLED],  # the door died under it
-    [*LOST[:4], {"at": 11 * S, "kind": "lost", "id": "x"}, {**NONE, "how": "gone", "at": 10 * S},
-     *fault("pause", 8 * S, 13 * S, "doors-0")],
-    [*LOST[:4], NONE, *fault("cut", 8 * S, 9 * S, "clients-doors")],
-    [told(8 * S, "DRAINING"), *ask("x", 8 * S + 200 * MS)],  # within the grace
-    [told(8 * S, "DRAINING"), *ask("x", 9 * S), *fault("pause", 7 * S, 9 * S, "doors-0")],
-    [told(8 * S, "DRAINING"), told(9 * S, "SERVING"), *ask("x", 9 * S + 500 * MS)],
-    [told(1, "DRAINING"), told(2, "SERVING"), *KILLED],  # a new process knows nothing of it
-    [*LOST, *again("x", 8 * S + 60 * MS)],  # its hall drops the repeat
-    [*ask("x", 8 * S, how="full"), *again("x", 8 * S + 60 * MS, server="servers-1", zone=1)],  # never ran
-    [*ask("x", 8 * S, took=400 * MS), *again("x", 8 * S + 100 * MS, server="servers-1"),
-     *fault("delay", 7 * S, 9 * S, "doors-servers")],
-    [log(8 * S, "takes up a snapshot of 2.5 s ago: 4 customers")],
-    [*LOST[:4], {"at": 11 * S, "kind": "lost", "id": "x"}, {**NONE, "how": "gone", "at": 10 * S},
-     {"at": 9 * S, "kind": "stalled", "us": 600 * MS}],  # the rig itself was late
-    [log(8 * S, "request x was left without an answer", "ERROR"), *fault("pause", 6 * S, 8 * S, "doors-0")],
-])
+@pytest.mark.parametrize(
+    "records",
+    [
+        [*ask("x", 4 * S - MS)[:4], {**NONE, "at": 4 * S + MS}, *KILLED],  # the door died under it
+        [
+            *LOST[:4],
+            {"at": 11 * S, "kind": "lost", "id": "x"},
+            {**NONE, "how": "gone", "at": 10 * S},
+            *fault("pause", 8 * S, 13 * S, "doors-0"),
+        ],
+        [*LOST[:4], NONE, *fault("cut", 8 * S, 9 * S, "clients-doors")],
+        [told(8 * S, "DRAINING"), *ask("x", 8 * S + 200 * MS)],  # within the grace
+        [told(8 * S, "DRAINING"), *ask("x", 9 * S), *fault("pause", 7 * S, 9 * S, "doors-0")],
+        [told(8 * S, "DRAINING"), told(9 * S, "SERVING"), *ask("x", 9 * S + 500 * MS)],
+        [told(1, "DRAINING"), told(2, "SERVING"), *KILLED],  # a new process knows nothing of it
+        [*LOST, *again("x", 8 * S + 60 * MS)],  # its hall drops the repeat
+        [*ask("x", 8 * S, how="full"), *again("x", 8 * S + 60 * MS, server="servers-1", zone=1)],  # never ran
+        [
+            *ask("x", 8 * S, took=400 * MS),
+            *again("x", 8 * S + 100 * MS, server="servers-1"),
+            *fault("delay", 7 * S, 9 * S, "doors-servers"),
+        ],
+        [log(8 * S, "takes up a snapshot of 2.5 s ago: 4 customers")],
+        [
+            *LOST[:4],
+            {"at": 11 * S, "kind": "lost", "id": "x"},
+            {**NONE, "how": "gone", "at": 10 * S},
+            {"at": 9 * S, "kind": "stalled", "us": 600 * MS},
+        ],  # the rig itself was late
+        [
+            log(8 * S, "request x was left without an answer", "ERROR"),
+            *fault("pause", 6 * S, 8 * S, "doors-0"),
+        ],
+    ],
+)
 def test_what_the_faults_excuse_is_no_violation(records: list[Record]) -> None:
     assert found(*records) == set()
 
 
-@pytest.mark.parametrize("later, said", [
-    (lambda: ask("other", 3 * S, zone=1, server="servers-1"), "in two halls"),
-    (lambda: ask("other", 3 * S), "after its client was told"),
-])
+@pytest.mark.parametrize(
+    "later, said",
+    [
+        (lambda: ask("other", 3 * S, zone=1, server="servers-1"), "in two halls"),
+        (lambda: ask("other", 3 * S), "after its client was told"),
+    ],
+)
 def test_kept_work_that_runs_again_under_its_key_is_found_where_it_is_kept(
     later: Callable[[], list[Record]], said: str
 ) -> None:
@@ -165,8 +251,11 @@
     path = tmp_path / "x.jsonl"
     path.write_bytes(b'{"at":1,"kind":"a"}\n{"at":2,"ki')
     assert list(read(path)) == [{"at": 1, "kind": "a"}]
-    lines = ["2026-12-01 10:00:00,250 INFO molereach: doors-0 serves at 127.0.0.1:1", "no log line",
-             "2026-12-01 10:00:01,250 ERROR molereach.x: a: b"]
+    lines = [
+        "2026-12-01 10:00:00,250 INFO molereach: doors-0 serves at 127.0.0.1:1",
+        "no log line",
+        "2026-12-01 10:00:01,250 ERROR molereach.x: a: b",
+    ]
     path.write_text("\n".join(lines))
     first, second = of_log(path, 3, 0)
     assert (first["door"], first["level"], first["text"]) == (3, "INFO", "doors-0 serves at 127.0.0.1:1")
@@ -174,9 +263,14 @@
 
 
 def test_further_attempts_beyond_the_whole_are_found_where_they_are_divided() -> None:
-    records = [record for n in range(12) for record in (
-        *ask(f"x{n}", 8 * S + n * MS, took=10 * MS, kind="view-sheet", how="error"),
-        *again(f"x{n}", 8 * S + n * MS + 20 * MS, kind="view-sheet"))]
+    records = [
+        record
+        for n in range(12)
+        for record in (
+            *ask(f"x{n}", 8 * S + n * MS, took=10 * MS, kind="view-sheet", how="error"),
+            *again(f"x{n}", 8 * S + n * MS + 20 * MS, kind="view-sheet"),
+        )
+    ]
     history = merge([CALM, records])
     assert CHECKS["further"](Seen(history, PLAN)) == []
     divided = msgspec.structs.replace(PLAN, steward=True, further=(1.0, 5.0))
--- a/tests/test_rig_leases.py
+++ b/tests/test_rig_leases.py
@@ -15,20 +15,38 @@
 
 HERE = Tree(ROOT, f"exec {sys.executable} -m molereach", tells_costs=True)
 S = 1_000_000
-PLAN = Plan(name="p", steward=True, stewards=3, fleet=Scenario(
-    name="p", doors=3, length_s=10, servers=Servers(count=2), demand=Demand(load=(0.3, 0.3))))
+PLAN = Plan(
+    name="p",
+    steward=True,
+    stewards=3,
+    fleet=Scenario(name="p", doors=3, length_s=10, servers=Servers(count=2), demand=Demand(load=(0.3, 0.3))),
+)
 (WHOLE,) = wholes(Seen([], PLAN, 1)).values()
 NAME = "ceiling/institution/0.3/0000002a"
 
 
 def asked(at: int, door: int, serial: int, fence: int = 0, mark: int = 1) -> Record:
-    return {"at": at, "kind": "asked", "door": door, "mark": mark, "serial": serial,
-            "fences": {NAME: fence} if fence else {}}
+    return {
+        "at": at,
+        "kind": "asked",
+        "door": door,
+        "mark": mark,
+        "serial": serial,
+        "fences": {NAME: fence} if fence else {},
+    }
 
 
 def granted(at: int, door: int, serial: int, fence: int, part: int, mark: int = 1) -> Record:
-    return {"at": at, "kind": "granted", "door": door, "mark": mark, "serial": serial, "lease_ms": 3000,
-            "steward": "steward-0", "parts": {NAME: [fence, part]}}
+    return {
+        "at": at,
+        "kind": "granted",
+        "door": door,
+        "mark": mark,
+        "serial": serial,
+        "lease_ms": 3000,
+        "steward": "steward-0",
+        "parts": {NAME: [fence, part]},
+    }
 
 
 def renewal(at: int, door: int, serial: int, fence: int, part: int, before: int = 0) -> list[Record]:
@@ -53,23 +71,37 @@
     assert beliefs(seen(asked(S, 0, 1), granted(5 * S, 0, 1, 10, 5))) == []  # after its lease
 
 
-@pytest.mark.parametrize("records", [
-    [*FIRST, AGREED, *renewal(3 * S + 1, 1, 1, 12, HALF)],
-    [*renewal(S, 0, 1, 10, WHOLE), *renewal(4 * S, 1, 1, 11, WHOLE)],  # the lease is over
-    [*renewal(S, 0, 1, 10, HALF), *renewal(S, 1, 1, 11, HALF)],
-])
+@pytest.mark.parametrize(
+    "records",
+    [
+        [*FIRST, AGREED, *renewal(3 * S + 1, 1, 1, 12, HALF)],
+        [*renewal(S, 0, 1, 10, WHOLE), *renewal(4 * S, 1, 1, 11, WHOLE)],  # the lease is over
+        [*renewal(S, 0, 1, 10, HALF), *renewal(S, 1, 1, 11, HALF)],
+    ],
+)
 def test_parts_within_the_whole_break_nothing(records: list[Record]) -> None:
     assert CHECKS["budgets"](seen(*records)) == []
 
 
-@pytest.mark.parametrize("records, said", [
-    ([*FIRST, *renewal(2 * S + 5000, 1, 1, 12, HALF)], "may be believed in"),  # without the first one's leave
-    ([*FIRST, AGREED, *renewal(3 * S + 1, 1, 1, 12, HALF + 2)], "may be believed in"),
-    ([*renewal(S, 0, 1, 10, WHOLE), *renewal(3 * S, 1, 1, 11, 1)], "may be believed in"),  # before its end
-    ([*renewal(S, 0, 1, 10, HALF), asked(S, 0, 1, mark=2), granted(S + 1, 0, 1, 11, WHOLE, mark=2)],
-     "may be believed in"),  # a door's next start is another holder
-    ([*renewal(S, 0, 1, 10, 1), *renewal(S, 1, 1, 10, 1)], "of two grants"),
-])
+@pytest.mark.parametrize(
+    "records, said",
+    [
+        (
+            [*FIRST, *renewal(2 * S + 5000, 1, 1, 12, HALF)],
+            "may be believed in",
+        ),  # without the first one's leave
+        ([*FIRST, AGREED, *renewal(3 * S + 1, 1, 1, 12, HALF + 2)], "may be believed in"),
+        (
+            [*renewal(S, 0, 1, 10, WHOLE), *renewal(3 * S, 1, 1, 11, 1)],
+            "may be believed in",
+        ),  # before its end
+        (
+            [*renewal(S, 0, 1, 10, HALF), asked(S, 0, 1, mark=2), granted(S + 1, 0, 1, 11, WHOLE, mark=2)],
+            "may be believed in",
+        ),  # a door's next start is another holder
+        ([*renewal(S, 0, 1, 10, 1), *renewal(S, 1, 1, 10, 1)], "of two grants"),
+    ],
+)
 def test_a_planted_sum_beyond_the_whole_is_found(records: list[Record], said: str) -> None:
     (violation,) = CHECKS["budgets"](seen(*records))
     assert said in violation.text and violation.rule == "budgets"
@@ -91,8 +123,11 @@
         bodies = Bodies()
         found = [*bodies.feed(one + one[:cut]), *bodies.feed(one[cut:])]
         assert found == [(b"POST /renew HTTP/1.1", b"abc")] * 2
-    for other in (b"POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", b"x" * 20_000,
-                  b"GET / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"):
+    for other in (
+        b"POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"x" * 20_000,
+        b"GET / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+    ):
         bodies = Bodies()
         assert [*bodies.feed(other), *bodies.feed(one)] == [] and not bodies.buffer
 
@@ -107,8 +142,9 @@
 def stewards() -> Seen:
     """The plan of the same name, with fewer doors."""
     plan = load("stewards")
-    fleet = msgspec.structs.replace(plan.fleet, doors=4, servers=msgspec.structs.replace(
-        plan.fleet.servers, count=4))
+    fleet = msgspec.structs.replace(
+        plan.fleet, doors=4, servers=msgspec.structs.replace(plan.fleet.servers, count=4)
+    )
     return play_once(msgspec.structs.replace(plan, fleet=fleet), 1, HERE, lambda text: None)
 
 
--- a/tests/test_rig_lists.py
+++ b/tests/test_rig_lists.py
@@ -21,8 +21,11 @@
 
 def at(seen: Seen, kind: str, **values: object) -> list[int]:
     """When it was noted so."""
-    return [record["at"] for record in seen.by[kind]
-            if all(record.get(name) == value for name, value in values.items())]
+    return [
+        record["at"]
+        for record in seen.by[kind]
+        if all(record.get(name) == value for name, value in values.items())
+    ]
 
 
 def test_every_rule_is_kept_and_no_request_fails(lists: Seen) -> None:
@@ -34,8 +37,11 @@
 def test_doors_are_moved_to_the_other_service_by_a_signal(lists: Seen) -> None:
     (moved,) = at(lists, "fault", fault="move")
     for door in (0, 2):
-        (said,) = [record["text"] for record in lists.by["door"] if record["door"] == door
-                   and "takes over the configuration" in record["text"]]
+        (said,) = [
+            record["text"]
+            for record in lists.by["door"]
+            if record["door"] == door and "takes over the configuration" in record["text"]
+        ]
         assert said.count(":") == 2  # one address
         assert [when for when in at(lists, "told", door=f"doors-{door}", whole=True) if when > moved]
         # Served all along: by the list that it has, then by the new one.
@@ -44,8 +50,11 @@
 
 
 def test_an_emptied_service_is_filled_again_and_its_history_replaces_the_old_one(lists: Seen) -> None:
-    (killed,) = [when for number, when in ((record["number"], record["at"]) for record in lists.by["fault"])
-                 if number == 1]
+    (killed,) = [
+        when
+        for number, when in ((record["number"], record["at"]) for record in lists.by["fault"])
+        if number == 1
+    ]
     for door in range(4):
         told = [record for record in lists.by["told"] if record["door"] == f"doors-{door}"]
         before = max(record["generation"] for record in told if record["at"] < killed)
@@ -58,9 +67,13 @@
 
 def test_a_hall_that_is_cut_off_from_the_service_alone_is_served_on(lists: Seen) -> None:
     (cut,), (mended,) = at(lists, "fault", fault="cut"), at(lists, "undone", fault="cut")
-    gone = {name for record in lists.by["told"] for name, state in record["servers"].items()
-            if state != "SERVING"}
+    gone = {
+        name for record in lists.by["told"] for name, state in record["servers"].items() if state != "SERVING"
+    }
     assert len(gone) == 1 and not gone & {"servers-1", "servers-3", "servers-5"}  # the one that was replaced
-    there = [record for record in lists.by["came"] if record["zone"] == 1
-             and cut + lists.plan.lease_s * S < record["at"] < mended]
+    there = [
+        record
+        for record in lists.by["came"]
+        if record["zone"] == 1 and cut + lists.plan.lease_s * S < record["at"] < mended
+    ]
     assert there
--- a/tests/test_rig_plan.py
+++ b/tests/test_rig_plan.py
@@ -26,24 +26,29 @@
     return Plan(name="p", fleet=SMALL, faults=faults, **more)
 
 
-@pytest.mark.parametrize("text, said", [
-    ("name = 'x'", "missing required field `fleet`"),
-    ("name = 'x'\nspeed = 3\n[fleet]\nname = 'x'", "unknown field `speed`"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'explode'", "Invalid enum value 'explode'"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\npart = 2", "`$.faults[0].part`"),
-    ("name = 'x'\n[fleet]\nname = 'x'\ndoors = 201", "at most 200 doors"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[fleet.troubles]]\nkind = 'burst'", "stands in faults"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\nat_s = 99", "after the end"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'cut'\nzone = 7", "strikes hall 7 of 2"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\nnumbers = [3]", "strikes doors 3 of 3"),
-    ("name = 'x'\nfollower = false\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\non = 'follower'",
-     "there is none"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'lose'\nsize = 3", "is a share, not 3"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'repeat'", "is for datagrams"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\nback_s = [2, 1]", "from 2 down to 1"),
-    ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\non = 'list'\nclock_s = 5", "clock_s"),
-    ("name = ", "x.toml: "),
-])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("name = 'x'", "missing required field `fleet`"),
+        ("name = 'x'\nspeed = 3\n[fleet]\nname = 'x'", "unknown field `speed`"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'explode'", "Invalid enum value 'explode'"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\npart = 2", "`$.faults[0].part`"),
+        ("name = 'x'\n[fleet]\nname = 'x'\ndoors = 201", "at most 200 doors"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[fleet.troubles]]\nkind = 'burst'", "stands in faults"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\nat_s = 99", "after the end"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'cut'\nzone = 7", "strikes hall 7 of 2"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\nnumbers = [3]", "strikes doors 3 of 3"),
+        (
+            "name = 'x'\nfollower = false\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\non = 'follower'",
+            "there is none",
+        ),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'lose'\nsize = 3", "is a share, not 3"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'repeat'", "is for datagrams"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\nback_s = [2, 1]", "from 2 down to 1"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\non = 'list'\nclock_s = 5", "clock_s"),
+        ("name = ", "x.toml: "),
+    ],
+)
 def test_what_is_wrong_with_a_plan_is_one_line(text: str, said: str) -> None:
     with pytest.raises(RigError) as caught:
         parse(text.encode(), "x.toml")
@@ -68,8 +73,9 @@
         except RigError:
             continue
         assert parse(dump(found).encode(), "soak") == found
-    big = Plan(name="p", fleet=SMALL, faults=tuple(Fault(kind=kind) for kind in ("kill", "cut", "pause")),
-               clients=2)
+    big = Plan(
+        name="p", fleet=SMALL, faults=tuple(Fault(kind=kind) for kind in ("kill", "cut", "pause")), clients=2
+    )
     assert sum(len(less.faults) < 3 for less in smaller(big)) == 3 and big not in smaller(big)
     small = shrink(big, lambda less: any(fault.kind == "cut" for fault in less.faults))
     assert [fault.kind for fault in small.faults] == ["cut"]
@@ -98,8 +104,12 @@
 
 
 def test_the_model_plays_the_faults_that_it_has_and_names_the_others() -> None:
-    both = plan(Fault(kind="kill", at_s=1, part=0.9, back_s=(1.0, 2.0)), Fault(kind="pause"),
-                Fault(kind="cut", link="doors-list"), Fault(kind="bad", size=0.4, part=0.2))
+    both = plan(
+        Fault(kind="kill", at_s=1, part=0.9, back_s=(1.0, 2.0)),
+        Fault(kind="pause"),
+        Fault(kind="cut", link="doors-list"),
+        Fault(kind="bad", size=0.4, part=0.2),
+    )
     scenario, missing = as_scenario(both)
     played = [(trouble.kind, trouble.part) for trouble in scenario.troubles]
     assert played == [("kill_doors", 0.9), ("bad", 0.2)]
@@ -114,8 +124,16 @@
 def test_the_way_back_ends_when_two_seconds_are_served_as_without_the_fault() -> None:
     calm = [(at, 1.0, True) for at in range(0, 20 * S, S // 100)]
     # Nothing from 5 to 7 s, half from there to 9, then all but three in a hundred.
-    served = [(at, worth, not 5 * S <= at < 7 * S and (at >= 9 * S or at < 5 * S or at // 10_000 % 2 == 0)
-               and (at < 9 * S or at // 10_000 % 33 != 0)) for at, worth, _ in calm]
+    served = [
+        (
+            at,
+            worth,
+            not 5 * S <= at < 7 * S
+            and (at >= 9 * S or at < 5 * S or at // 10_000 % 2 == 0)
+            and (at < 9 * S or at // 10_000 % 33 != 0),
+        )
+        for at, worth, _ in calm
+    ]
     way = way_back(served, calm, 5 * S, 20 * S)
     assert 3.8 <= way.full_s <= 4.0
     assert way.worst_second == 0.0 and 0.14 < way.lost < 0.18
--- a/tests/test_rig_processes.py
+++ b/tests/test_rig_processes.py
@@ -68,7 +68,7 @@
     assert again.figures == short.figures and again.violations == short.violations
     write([("run", again)], tmp_path / "report.html")
     page = (tmp_path / "report.html").read_text()
-    assert "Rules kept." in page and "data:image/png;base64," in page and "src=\"http" not in page
+    assert "Rules kept." in page and "data:image/png;base64," in page and 'src="http' not in page
     with pytest.raises(RigError, match="holds no run"):
         kept(tmp_path)
 
@@ -77,12 +77,19 @@
 def test_nothing_is_left_when_the_rig_is_ended(number: int) -> None:
     """SIGKILL stands for a crash of the rig."""
     mark = f"{os.getpid()}-{number}"
-    words = ("from model.commands import end_on_signals\nend_on_signals()\n"
-             "from bench.process import ROOT, Tree\nfrom rig.plan import load\n"
-             "from rig.runs import play_once\n"
-             f"play_once(load('short'), 1, Tree(ROOT, {DOOR!r}, True), lambda text: None)")
-    process = subprocess.Popen([sys.executable, "-c", words], cwd=ROOT, env={**os.environ, MARK: mark},
-                               stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    words = (
+        "from model.commands import end_on_signals\nend_on_signals()\n"
+        "from bench.process import ROOT, Tree\nfrom rig.plan import load\n"
+        "from rig.runs import play_once\n"
+        f"play_once(load('short'), 1, Tree(ROOT, {DOOR!r}, True), lambda text: None)"
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-c", words],
+        cwd=ROOT,
+        env={**os.environ, MARK: mark},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
     try:
         while len(of_mark(mark)) < 8:
             assert process.poll() is None
@@ -108,16 +115,25 @@
     assert of_mark(mark) == set()
 
 
-@pytest.mark.parametrize("words, said", [
-    (["run", "nothing"], "there is no plan 'nothing'"),
-    (["run", "short", "--seed", "x"], "--seed"),
-    (["report", "/nowhere"], "does not exist"),
-    (["pairs", "no-such-revision", "short"], "no revision 'no-such-revision'"),
-    (["compare", "split", "--seeds", "1"], "the model has no"),
-    (["bogus"], "bogus"),
-])
+@pytest.mark.parametrize(
+    "words, said",
+    [
+        (["run", "nothing"], "there is no plan 'nothing'"),
+        (["run", "short", "--seed", "x"], "--seed"),
+        (["report", "/nowhere"], "does not exist"),
+        (["pairs", "no-such-revision", "short"], "no revision 'no-such-revision'"),
+        (["compare", "split", "--seeds", "1"], "the model has no"),
+        (["bogus"], "bogus"),
+    ],
+)
 def test_bad_input_is_one_line_and_exit_code_2(words: list[str], said: str) -> None:
-    done = subprocess.run([sys.executable, "-m", "rig", *words], cwd=ROOT, capture_output=True, text=True,
-                          timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "rig", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 2 and done.stdout == ""
     assert len(done.stderr.splitlines()) == 1 and said in done.stderr
--- a/tests/test_rig_recovery.py
+++ b/tests/test_rig_recovery.py
@@ -49,7 +49,8 @@
 def test_the_list_is_read_again_once_its_service_is_back(again: Seen) -> None:
     lists = max(record["at"] for record in again.by["started"] if record["who"] == "list-0")
     assert {record["door"] for record in again.by["told"] if record["at"] > lists} == {
-        f"doors-{n}" for n in range(4)}
+        f"doors-{n}" for n in range(4)
+    }
 
 
 def test_bad_state_is_one_warning_and_a_door_that_crashes_waits() -> None:
@@ -83,8 +84,9 @@
     assert served and any(record["how"] == "refused" for record in ends)
     # Once the others are back all serve again.
     asked = {record["id"]: record["door"] for record in seen.by["try"]}
-    assert {asked[record["id"]] for record in seen.by["end"]
-            if record["how"] == "served" and record["at"] > back} == {0, 1, 2, 3}
+    assert {
+        asked[record["id"]] for record in seen.by["end"] if record["how"] == "served" and record["at"] > back
+    } == {0, 1, 2, 3}
 
 
 def test_two_doors_with_one_number_are_one_door(tmp_path: Path) -> None:
@@ -117,8 +119,10 @@
     load = Load(world, 0)
     load.begin(world.capacity())
     largest = sorted(load.customers, key=lambda customer: -customer.usual)[:count]
-    homes = {(customer.first + zlib.crc32(customer.name.encode()) % customer.size) % plan.fleet.doors
-             for customer in largest}
+    homes = {
+        (customer.first + zlib.crc32(customer.name.encode()) % customer.size) % plan.fleet.doors
+        for customer in largest
+    }
     return tuple(sorted(homes))
 
 
@@ -139,11 +143,14 @@
     """On the way back from the first: three in four doors again, half of them with state from an hour ago."""
     plan, replace = load("waves"), msgspec.structs.replace
     fleet = replace(plan.fleet, doors=4, length_s=10, servers=replace(plan.fleet.servers, count=4))
-    waves = [Fault(kind="kill", at_s=at_s, numbers=numbers, back_s=(0.3, 0.5), state=state)
-             for at_s, numbers, state in (
-                 (2.0, (0, 1, 2), "none"), (5.0, (0, 1), "stale"), (5.0, (3,), "kept"))]
-    others = [Fault(kind="kill", on="servers", at_s=2.0, numbers=(0, 1), back_s=(0.5, 0.5)),
-              Fault(kind="kill", on="list", at_s=2.0, back_s=(0.7, 0.7), state="old")]
+    waves = [
+        Fault(kind="kill", at_s=at_s, numbers=numbers, back_s=(0.3, 0.5), state=state)
+        for at_s, numbers, state in ((2.0, (0, 1, 2), "none"), (5.0, (0, 1), "stale"), (5.0, (3,), "kept"))
+    ]
+    others = [
+        Fault(kind="kill", on="servers", at_s=2.0, numbers=(0, 1), back_s=(0.5, 0.5)),
+        Fault(kind="kill", on="list", at_s=2.0, back_s=(0.7, 0.7), state="old"),
+    ]
     plan = replace(plan, fleet=fleet, state=True, faults=(*waves, *others))
     seen = play_once(plan, 1, HERE, lambda text: None)
     assert check(seen) == []
--- a/tests/test_rig_relay.py
+++ b/tests/test_rig_relay.py
@@ -203,19 +203,30 @@
     def address_of(name: str, at: str) -> str:
         return {"s-1": "127.0.0.1:1111"}.get(name, at)
 
-    entries = [{"instanceId": "s-1", "hostPort": "127.0.0.1:22", "lifecycle": "SERVING"},
-               {"instanceId": "s-2", "hostPort": "127.0.0.1:33", "lifecycle": "DRAINING"}]
+    entries = [
+        {"instanceId": "s-1", "hostPort": "127.0.0.1:22", "lifecycle": "SERVING"},
+        {"instanceId": "s-2", "hostPort": "127.0.0.1:33", "lifecycle": "DRAINING"},
+    ]
     line = msgspec.json.encode({"generation": 7, "reset": True, "instances": entries}) + b"\n"
-    answer = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-              b"%x\r\n%b\r\n1\r\n\n\r\n0\r\n\r\n" % (len(line), line))
+    answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n1\r\n\n\r\n0\r\n\r\n" % (
+        len(line),
+        line,
+    )
     listing = Listing("doors-0", address_of)
     pieces = [piece for at in range(0, len(answer), 7) for piece in listing.feed(answer[at : at + 7])]
     data = b"".join(data for data, _ in pieces)
     assert b'"127.0.0.1:1111"' in data and b'"127.0.0.1:33"' in data and b":22" not in data
     assert data.endswith(b"1\r\n\n\r\n0\r\n\r\n")
     noted = [note for _, notes in pieces for note in notes]
-    assert noted == [{"kind": "told", "door": "doors-0", "generation": 7, "whole": True,
-                      "servers": {"s-1": "SERVING", "s-2": "DRAINING"}}]
+    assert noted == [
+        {
+            "kind": "told",
+            "door": "doors-0",
+            "generation": 7,
+            "whole": True,
+            "servers": {"s-1": "SERVING", "s-2": "DRAINING"},
+        }
+    ]
     with pytest.raises(ValueError):
         Listing("doors-0", address_of).feed(b"nonsense\r\n\r\n")
 
--- a/tests/test_roster_end_to_end.py
+++ b/tests/test_roster_end_to_end.py
@@ -70,6 +70,7 @@
 
 async def known(door: FrontDoor, *names: str, state: i.ServerState = i.ServerState.UP) -> None:
     """Wait until the door knows just these in that state."""
+
     def found() -> set[str]:
         return {name for name, server in door.gateway.servers.items() if server.entry.state is state}
 
--- a/tests/test_roster_follow.py
+++ b/tests/test_roster_follow.py
@@ -40,8 +40,10 @@
 
 
 async def get(address: str, path: str = READ_PATH, method: str = "GET") -> tuple[int, dict]:
-    async with ClientSession(timeout=ClientTimeout(WAIT_S)) as session, session.request(
-            method, f"http://{address}{path}") as answer:
+    async with (
+        ClientSession(timeout=ClientTimeout(WAIT_S)) as session,
+        session.request(method, f"http://{address}{path}") as answer,
+    ):
         return answer.status, await answer.json()
 
 
@@ -132,12 +134,16 @@
     play(act)
 
 
-@pytest.mark.parametrize("answer", [
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nnope\n\r\n",
-    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n{"generation":1,"reset":true,"ins',
-    b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
-    b"SSH-2.0-nonsense\r\n\r\n", b"",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nnope\n\r\n",
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n{"generation":1,"reset":true,"ins',
+        b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+        b"SSH-2.0-nonsense\r\n\r\n",
+        b"",
+    ],
+)
 def test_nonsense_from_the_other_is_borne_and_the_list_stays(answer: bytes) -> None:
     async def act() -> None:
         calls = 0
@@ -180,20 +186,28 @@
     assert not copy.after(copy.floor).reset
 
 
-@pytest.mark.parametrize("line", [
-    b"{", b"[]", b'{"generation":"x","reset":true,"instances":[]}',
-    b'{"generation":-1,"reset":true,"instances":[]}',
-    b'{"generation":1,"reset":1,"instances":[]}', b'{"generation":1,"reset":true,"instances":[7]}',
-    b'{"generation":1,"reset":true,"instances":[{"instanceId":"a","lifecycle":"SERVING"}]}', b"[" * 100_000,
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{",
+        b"[]",
+        b'{"generation":"x","reset":true,"instances":[]}',
+        b'{"generation":-1,"reset":true,"instances":[]}',
+        b'{"generation":1,"reset":1,"instances":[]}',
+        b'{"generation":1,"reset":true,"instances":[7]}',
+        b'{"generation":1,"reset":true,"instances":[{"instanceId":"a","lifecycle":"SERVING"}]}',
+        b"[" * 100_000,
+    ],
+)
 def test_a_message_that_makes_no_sense_is_refused(line: bytes) -> None:
     with pytest.raises(RefusedError):
         read_news(line)
 
 
 @options(derandomize=True, deadline=None, max_examples=60)
-@given(st.lists(st.tuples(st.integers(0, 4), st.booleans(), st.booleans()), max_size=40),
-       st.integers(0, 1 << 30))
+@given(
+    st.lists(st.tuples(st.integers(0, 4), st.booleans(), st.booleans()), max_size=40), st.integers(0, 1 << 30)
+)
 def test_a_reader_that_changes_between_first_and_follower_ends_with_the_list(
     steps: list[tuple[int, bool, bool]], seed: int
 ) -> None:
@@ -224,6 +238,7 @@
 
 def test_a_follower_of_a_service_that_is_filled_comes_when_it_is_told_to(tmp_path: Path) -> None:
     """And not after a wait drawn anew each time: that was up to 5 s on top, for all behind the follower."""
+
     async def act() -> None:
         first, reads = Service(tmp_path, 1.0), []
         ready = first.ready
--- a/tests/test_roster_server.py
+++ b/tests/test_roster_server.py
@@ -76,9 +76,22 @@
     async def act(client: Client) -> None:
         first = await client.put("s-1", 6001, cell=3, weight=2, started_ms=7)
         status, whole = await client.call("GET", READ)
-        assert status == 200 and whole == {"generation": first, "reset": True, "instances": [{
-            "instanceId": "s-1", "hostPort": "127.0.0.1:6001", "zone": "east", "machineType": "m1", "cell": 3,
-            "lifecycle": "SERVING", "weight": 2.0, "startedAtMs": 7}]}
+        assert status == 200 and whole == {
+            "generation": first,
+            "reset": True,
+            "instances": [
+                {
+                    "instanceId": "s-1",
+                    "hostPort": "127.0.0.1:6001",
+                    "zone": "east",
+                    "machineType": "m1",
+                    "cell": 3,
+                    "lifecycle": "SERVING",
+                    "weight": 2.0,
+                    "startedAtMs": 7,
+                }
+            ],
+        }
         watch = client.watch(first)
         # The first object comes at once, also with nothing in it: the reader knows that it is up to date.
         assert await anext(watch) == {"generation": first, "reset": False, "instances": []}
@@ -86,8 +99,9 @@
         second = await client.put("s-2", 6002)
         news = [line async for line in until(watch, second)][-1]
         assert not news["reset"] and [one["instanceId"] for one in news["instances"]] == ["s-2"]
-        assert (await client.call("PATCH", "/instances/s-1", json={
-            "generation": first, "lifecycle": "DRAINING"}))[0] == 200
+        assert (
+            await client.call("PATCH", "/instances/s-1", json={"generation": first, "lifecycle": "DRAINING"})
+        )[0] == 200
         news = [line async for line in until(watch, second + 1)][-1]
         assert news["instances"][0]["lifecycle"] == "DRAINING"
         assert (await client.call("DELETE", "/instances/s-1"))[0] == 200
@@ -219,16 +233,33 @@
 
 def started(folder: Path, *more: str) -> tuple[subprocess.Popen[str], str]:
     process = subprocess.Popen(
-        [sys.executable, "-m", "roster", "--data", str(folder), "--listen", "127.0.0.1:0", "--fill", "0",
-         *more], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        [
+            sys.executable,
+            "-m",
+            "roster",
+            "--data",
+            str(folder),
+            "--listen",
+            "127.0.0.1:0",
+            "--fill",
+            "0",
+            *more,
+        ],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     line = process.stdout.readline()
     return process, "http://" + line.split()[-1] if line else ""
 
 
 def test_the_program_keeps_its_list_over_a_kill_and_ends_cleanly(tmp_path: Path) -> None:
     async def call(url: str, method: str, path: str, **more: object) -> dict:
-        async with ClientSession(timeout=ClientTimeout(20)) as session, session.request(
-                method, url + path, **more) as answer:
+        async with (
+            ClientSession(timeout=ClientTimeout(20)) as session,
+            session.request(method, url + path, **more) as answer,
+        ):
             return await answer.json()
 
     process, url = started(tmp_path)
@@ -241,8 +272,10 @@
     assert [one["instanceId"] for one in whole["instances"]] == ["s-1"]
 
     async def ends() -> bytes:
-        async with ClientSession(timeout=ClientTimeout(20)) as session, session.get(
-                f"{url}{READ}?watch=1&after=1") as answer:
+        async with (
+            ClientSession(timeout=ClientTimeout(20)) as session,
+            session.get(f"{url}{READ}?watch=1&after=1") as answer,
+        ):
             line = await answer.content.readline()
             process.send_signal(signal.SIGTERM)
             return line + await answer.content.read()  # ends as a whole answer, or this raises
@@ -258,11 +291,19 @@
     process, _ = started(tmp_path)
     _, errors = process.communicate(timeout=20)
     assert process.returncode == 1 and errors.count("\n") == 1 and "snapshot is damaged" in errors
-    for words, told in ((["--data", str(tmp_path), "--listen", "nowhere"], "'nowhere' is not HOST:PORT"),
-                        (["--fill", "soon"], "not a valid float"),
-                        ([], "one of --data and --follow is wanted")):
-        done = subprocess.run([sys.executable, "-m", "roster", *words], cwd=ROOT, capture_output=True,
-                              text=True, timeout=60, check=False)
+    for words, told in (
+        (["--data", str(tmp_path), "--listen", "nowhere"], "'nowhere' is not HOST:PORT"),
+        (["--fill", "soon"], "not a valid float"),
+        ([], "one of --data and --follow is wanted"),
+    ):
+        done = subprocess.run(
+            [sys.executable, "-m", "roster", *words],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
         assert done.returncode == 2 and done.stderr.startswith("roster: ")
         assert told in done.stderr and done.stderr.count("\n") == 1
 
--- a/tests/test_roster_store.py
+++ b/tests/test_roster_store.py
@@ -33,8 +33,14 @@
 
 
 def instance(name: str = "s-1", port: int = 0, **changes: object) -> Instance:
-    values = {"id": name, "address": f"127.0.0.1:{port or 6000 + int(name.split('-')[1])}", "zone": "east",
-              "machine_type": "m1", "started_ms": 5, "lease_ms": 10_000}
+    values = {
+        "id": name,
+        "address": f"127.0.0.1:{port or 6000 + int(name.split('-')[1])}",
+        "zone": "east",
+        "machine_type": "m1",
+        "started_ms": 5,
+        "lease_ms": 10_000,
+    }
     return replace(read_instance(values), **changes)
 
 
@@ -68,9 +74,18 @@
     assert [(one.id, one.lifecycle) for one in news.instances] == [("s-0", DRAINING), ("s-1", DELETED)]
     assert not news.reset and news.generation == start + 2
     assert store.after(news.generation).instances == ()
-    assert store.whole().shown()["instances"] == [{
-        "instanceId": "s-0", "hostPort": "127.0.0.1:6000", "zone": "east", "machineType": "m1", "cell": 0,
-        "lifecycle": "DRAINING", "weight": 1.0, "startedAtMs": 5}]
+    assert store.whole().shown()["instances"] == [
+        {
+            "instanceId": "s-0",
+            "hostPort": "127.0.0.1:6000",
+            "zone": "east",
+            "machineType": "m1",
+            "cell": 0,
+            "lifecycle": "DRAINING",
+            "weight": 1.0,
+            "startedAtMs": 5,
+        }
+    ]
 
 
 def test_a_reader_from_before_from_the_future_or_of_another_history_gets_all() -> None:
@@ -79,8 +94,12 @@
         news = store.after(generation)
         assert news.reset and len(news.instances) == 3
     for _ in range(MOST_HISTORY):
-        store.update("s-0", store.get("s-0").generation,
-                     DRAINING if store.get("s-0").lifecycle == SERVING else SERVING, 0)
+        store.update(
+            "s-0",
+            store.get("s-0").generation,
+            DRAINING if store.get("s-0").lifecycle == SERVING else SERVING,
+            0,
+        )
     assert store.after(store.generation - MOST_HISTORY - 1).reset  # the history has just been cut there
     assert not store.after(store.generation - MOST_HISTORY).reset
     assert len(store.history) == MOST_HISTORY
@@ -117,7 +136,9 @@
     store.register(instance("s-0", 7000), 0)
     store.register(instance("s-9", 7000), 0)
     assert [(one.id, one.lifecycle) for one in store.after(seen).instances] == [
-        ("s-0", DELETED), ("s-9", SERVING)]
+        ("s-0", DELETED),
+        ("s-9", SERVING),
+    ]
     store.register(instance("s-0"), 0)  # its old address is free again
     assert set(store.instances) == {"s-0", "s-9"}
 
@@ -143,15 +164,35 @@
         store.update("s-0", store.generation, "GONE", 0)
 
 
-@pytest.mark.parametrize("key, value", [
-    ("id", ""), ("id", "a b"), ("id", "x" * 65), ("id", 7), ("zone", "\n"), ("address", "localhost:1"),
-    ("address", "127.0.0.1:0"), ("address", "127.0.0.256:1"), ("address", "127.0.0.1:65536"), ("cell", -1),
-    ("cell", True), ("weight", 0), ("weight", float("nan")), ("weight", float("inf")), ("lease_ms", 10),
-    ("lease_ms", 1e4), ("started_ms", -1), ("colour", "red"), ("generation", 4), ("lifecycle", "SERVING"),
-])
+@pytest.mark.parametrize(
+    "key, value",
+    [
+        ("id", ""),
+        ("id", "a b"),
+        ("id", "x" * 65),
+        ("id", 7),
+        ("zone", "\n"),
+        ("address", "localhost:1"),
+        ("address", "127.0.0.1:0"),
+        ("address", "127.0.0.256:1"),
+        ("address", "127.0.0.1:65536"),
+        ("cell", -1),
+        ("cell", True),
+        ("weight", 0),
+        ("weight", float("nan")),
+        ("weight", float("inf")),
+        ("lease_ms", 10),
+        ("lease_ms", 1e4),
+        ("started_ms", -1),
+        ("colour", "red"),
+        ("generation", 4),
+        ("lifecycle", "SERVING"),
+    ],
+)
 def test_a_registration_that_makes_no_sense_names_the_key(key: str, value: object) -> None:
-    values = {name: found for name, found in asdict(instance()).items()
-              if name not in ("lifecycle", "generation")}
+    values = {
+        name: found for name, found in asdict(instance()).items() if name not in ("lifecycle", "generation")
+    }
     assert read_instance(values) == instance()
     with pytest.raises(RefusedError, match=key):
         read_instance({**values, key: value})
@@ -327,8 +368,14 @@
     log.close()
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(["register", "drain", "leave", "renew", "tick", "crash", "cut"]),
-                           st.integers(0, 5), st.integers(0, 12_000)), max_size=40)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["register", "drain", "leave", "renew", "tick", "crash", "cut"]),
+        st.integers(0, 5),
+        st.integers(0, 12_000),
+    ),
+    max_size=40,
+)
 
 
 @options(derandomize=True, deadline=None, max_examples=40)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -175,8 +175,12 @@
     for n in range(300):
         gates.ask(n * 7 % 20, f"r{n}")
         gates.run(110 * MS)
-        homes = [world.gateway for world in gates.worlds for customer in world.gateway.customers.values()
-                 if customer.home == world.gateway.set.me]
+        homes = [
+            world.gateway
+            for world in gates.worlds
+            for customer in world.gateway.customers.values()
+            if customer.home == world.gateway.set.me
+        ]
     level = next(iter(homes[0].customers.values())).level
     assert level > 6  # of 10, at nine tenths of the rate
 
@@ -189,8 +193,12 @@
         for n in range(20):
             gates.ask(n, f"r{gates.worlds[n].now}")
         gates.run(4 * S)
-    levels = [customer.level for world in gates.worlds for customer in world.gateway.customers.values()
-              if customer.home == world.gateway.set.me]
+    levels = [
+        customer.level
+        for world in gates.worlds
+        for customer in world.gateway.customers.values()
+        if customer.home == world.gateway.set.me
+    ]
     assert levels == [pytest.approx(20, abs=0.5)]
 
 
@@ -558,8 +566,18 @@
 def test_module_size() -> None:
     root = Path(__file__).parent.parent
     policy = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
-    decisions = {"allowances.py", "base.py", "cap.py", "choice.py", "fleet.py", "memory.py", "patience.py",
-                 "quota.py", "rules.py", "starts.py"}
+    decisions = {
+        "allowances.py",
+        "base.py",
+        "cap.py",
+        "choice.py",
+        "fleet.py",
+        "memory.py",
+        "patience.py",
+        "quota.py",
+        "rules.py",
+        "starts.py",
+    }
     assert set(policy) == {f"fennelwinch/{name}" for name in decisions}
     lines = [line for name in policy for line in (root / name).read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 1200
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -90,8 +90,10 @@
         ask(world, "a")
         world.run(200 * MS)
     told(restarted, 1, start(served_s=60.0))
-    burst = {name: next(iter(world.gateway.customers.values()))
-             for name, world in (("fresh", fresh), ("restarted", restarted))}
+    burst = {
+        name: next(iter(world.gateway.customers.values()))
+        for name, world in (("fresh", fresh), ("restarted", restarted))
+    }
     assert burst["fresh"].part > 5 and burst["fresh"].level > 18
     assert burst["restarted"].level <= 10 * 0.2 + 1e-9  # what has come since it was first asked
     assert burst["restarted"].part <= burst["restarted"].level / 3 + 1e-9
@@ -149,8 +151,9 @@
     for number in range(40):
         gateways.ask(number % 3, f"r{number}")
         gateways.run(100 * MS)
-    settings = replace(SETTINGS, gateways=3, me=1, seed=99,
-                       plans=(i.Plan(rate=10.0, burst=20.0, over_cost=1.0),))
+    settings = replace(
+        SETTINGS, gateways=3, me=1, seed=99, plans=(i.Plan(rate=10.0, burst=20.0, over_cost=1.0),)
+    )
     fresh = World(settings)
     fresh.now = gateways.worlds[1].now
     gateways.worlds[1] = fresh
@@ -166,9 +169,14 @@
         gateways.ask(number % 3, f"r{number}")
         gateways.run(100 * MS)
     assert not any(world.gateway.starts.restarted for world in gateways.worlds)
-    late = [action for world in gateways.worlds for at, action in world.log
-            if isinstance(action, i.Tell) and at > 100 * S + 2 * YOUNG_US and
-            any(not word.set_size for word in action.words)]
+    late = [
+        action
+        for world in gateways.worlds
+        for at, action in world.log
+        if isinstance(action, i.Tell)
+        and at > 100 * S + 2 * YOUNG_US
+        and any(not word.set_size for word in action.words)
+    ]
     assert not late
 
 
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -31,8 +31,11 @@
 
 
 @CALM
-@given(st.integers(0, 10_000), st.dictionaries(st.text(max_size=3), st.integers(0, 5_000), max_size=30),
-       st.integers(0, 1000))
+@given(
+    st.integers(0, 10_000),
+    st.dictionaries(st.text(max_size=3), st.integers(0, 5_000), max_size=30),
+    st.integers(0, 1000),
+)
 def test_parts_add_up_to_the_whole_and_are_max_min_fair(
     whole: int, demands: dict[str, int], turn: int
 ) -> None:
@@ -100,8 +103,9 @@
 def test_the_checker_sees_each_kind_of_event() -> None:
     events = {event.split()[-1] for event, _ in steps(begin(Kind(), 2, 2, True))}
     assert {"by", "asks", "spends", "again", "back", "begins"} <= events
-    (asked,) = [make() for event, make in steps(begin(Kind(), 2, 2, True))
-                if event == "door 1 (start 1) asks"]
+    (asked,) = [
+        make() for event, make in steps(begin(Kind(), 2, 2, True)) if event == "door 1 (start 1) asks"
+    ]
     assert any(event.startswith("another steward takes over") for event, _ in steps(asked))
     assert broken(begin(Kind(), 2, 2, True)) == ""
 
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -38,21 +38,29 @@
 from tests.helpers import copied, log_of
 
 SECRET = "not for anybody else"
-CONFIG = Config(doors=16, lease_ms=1500, budgets=(
-    Kind(name="rate/*", rate=200.0, burst=40), Kind(name="open", open=64)))
+CONFIG = Config(
+    doors=16, lease_ms=1500, budgets=(Kind(name="rate/*", rate=200.0, burst=40), Kind(name="open", open=64))
+)
 TERMS = {"rate/a": Terms(200_000, 40), "open": Terms(64)}
 
 
 # --- configuration ---
 
 
-@pytest.mark.parametrize("text, said", [
-    ("", "missing required field `budgets`"), ("x = 1", "x"), ("budgets = 3", "budgets"),
-    ("[[budgets]]\nname = 'a'", "'a' needs rate and burst, or open"),
-    ("[[budgets]]\nname = 'a'\nrate = 3", "'a' needs"), ("[[budgets]]\nname = 'a'\nopen = 0", "open"),
-    ("[[budgets]]\nname = 'a'\nopen = 1\nrate = 2\nburst = 1", "'a' needs"),
-    ("lease_ms = 60000\n[[budgets]]\nname = 'a'\nopen = 1", "lease_ms"), ("nonsense", "c.toml: "),
-])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("", "missing required field `budgets`"),
+        ("x = 1", "x"),
+        ("budgets = 3", "budgets"),
+        ("[[budgets]]\nname = 'a'", "'a' needs rate and burst, or open"),
+        ("[[budgets]]\nname = 'a'\nrate = 3", "'a' needs"),
+        ("[[budgets]]\nname = 'a'\nopen = 0", "open"),
+        ("[[budgets]]\nname = 'a'\nopen = 1\nrate = 2\nburst = 1", "'a' needs"),
+        ("lease_ms = 60000\n[[budgets]]\nname = 'a'\nopen = 1", "lease_ms"),
+        ("nonsense", "c.toml: "),
+    ],
+)
 def test_what_is_wrong_with_a_configuration_is_one_line(tmp_path: Path, text: str, said: str) -> None:
     path = tmp_path / "c.toml"
     path.write_text(text)
@@ -110,13 +118,12 @@
         answer = state.ask(Ask(door=9, mark=1, serial=0, wants=(Want(budget="open", demand=64),)), still)
         assert answer.grants[0].fence > highest
         assert answer.grants[0].part <= granted(64) - sum(
-            holding.bound for name, holding in state.budgets["open"].holdings.items() if name != "9/1")
+            holding.bound for name, holding in state.budgets["open"].holdings.items() if name != "9/1"
+        )
         book.close()
 
 
-def test_damage_is_one_line_and_a_lost_folder_waits_for_the_longest_lease(
-    tmp_path: Path, still: int
-) -> None:
+def test_damage_is_one_line_and_a_lost_folder_waits_for_the_longest_lease(tmp_path: Path, still: int) -> None:
     sizes = grown(tmp_path / "whole", still)
     data = bytearray(log_of(tmp_path / "whole").read_bytes())
     damaged = bytearray(data)
@@ -301,9 +308,20 @@
 
     def words(self, number: int) -> tuple[str, ...]:
         host, port = self.addresses[number]
-        return ("-m", "steward", "serve", "--data", str(self.folder / "data"), "--config",
-                str(self.folder / "c.toml"), "--secret", str(self.folder / "secret"), "--listen",
-                f"{host}:{port}", "--standby")
+        return (
+            "-m",
+            "steward",
+            "serve",
+            "--data",
+            str(self.folder / "data"),
+            "--config",
+            str(self.folder / "c.toml"),
+            "--secret",
+            str(self.folder / "secret"),
+            "--listen",
+            f"{host}:{port}",
+            "--standby",
+        )
 
     async def steward(self, number: int) -> Process:
         """Started, and waited for until it serves."""
@@ -313,8 +331,14 @@
 
     def standby(self, number: int) -> None:
         """Started, and not waited for: it serves once the other has gone."""
-        self.standbys.append(subprocess.Popen([sys.executable, *self.words(number)], cwd=ROOT,
-                                              stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL))
+        self.standbys.append(
+            subprocess.Popen(
+                [sys.executable, *self.words(number)],
+                cwd=ROOT,
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
+        )
 
     def kill_standbys(self) -> None:
         for process in self.standbys:
@@ -325,34 +349,50 @@
     def granted_after(self, moment: int, part: int = 50) -> bool:
         """Whether so much is held by grants that were all taken over later than that."""
         return self.held("open") >= part and all(
-            record["at"] > moment for record in self.last("open").values())
+            record["at"] > moment for record in self.last("open").values()
+        )
 
     async def holder(self, door: int, demand: int = 1000) -> None:
         self.starts += 1
-        told = {"door": door, "mark": self.starts, "doors": 16, "addresses": self.addresses,
-                "secret": SECRET, "lease_ms": CONFIG.lease_ms,
-                "budgets": {name: [terms.whole, terms.burst] for name, terms in TERMS.items()},
-                "demands": {"rate/a": demand * 1000, "open": demand},
-                "history": str(self.folder / f"holder-{self.starts}.jsonl")}
+        told = {
+            "door": door,
+            "mark": self.starts,
+            "doors": 16,
+            "addresses": self.addresses,
+            "secret": SECRET,
+            "lease_ms": CONFIG.lease_ms,
+            "budgets": {name: [terms.whole, terms.burst] for name, terms in TERMS.items()},
+            "demands": {"rate/a": demand * 1000, "open": demand},
+            "history": str(self.folder / f"holder-{self.starts}.jsonl"),
+        }
         path = self.folder / f"holder-{self.starts}.json"
         path.write_bytes(msgspec.json.encode(told))
         self.holders[door], _ = await start_program(("-m", "bench.holders", str(path)), self.folder / "log")
 
     def records(self) -> list[dict]:
-        found = [msgspec.json.decode(line) for path in self.folder.glob("holder-*.jsonl")
-                 for line in path.read_bytes().splitlines()]
+        found = [
+            msgspec.json.decode(line)
+            for path in self.folder.glob("holder-*.jsonl")
+            for line in path.read_bytes().splitlines()
+        ]
         return sorted(found, key=lambda record: record["at"])
 
     def held(self, budget: str, door: int | None = None) -> int:
         """What holders may use now, by what they noted."""
         now = now_ms()
-        return sum(record["part"] for (who, _), record in self.last(budget).items()
-                   if record["until"] > now and door in (None, who))
+        return sum(
+            record["part"]
+            for (who, _), record in self.last(budget).items()
+            if record["until"] > now and door in (None, who)
+        )
 
     def last(self, budget: str) -> dict[tuple[int, int], dict]:
         """Each holder's last grant."""
-        return {(record["door"], record["mark"]): record for record in self.records()
-                if record["kind"] == "held" and record["budget"] == budget}
+        return {
+            (record["door"], record["mark"]): record
+            for record in self.records()
+            if record["kind"] == "held" and record["budget"] == budget
+        }
 
     async def until(self, holds: Callable[[], bool]) -> None:
         async with asyncio.timeout(30):
@@ -366,7 +406,8 @@
     found = Fleet(folder, addresses=[(host, free_port(host=host)) for host in hosts])
     (folder / "c.toml").write_text(
         "doors = 16\nlease_ms = 1500\n[[budgets]]\nname = 'rate/*'\nrate = 200.0\nburst = 40\n"
-        "[[budgets]]\nname = 'open'\nopen = 64\n")
+        "[[budgets]]\nname = 'open'\nopen = 64\n"
+    )
     (folder / "secret").write_text(SECRET)
     begin(folder / "data", CONFIG)
     try:
@@ -436,8 +477,9 @@
         for process in found.stewards:
             process.kill()
         died = now_ms()
-        await found.until(lambda: any(
-            record["kind"] == "held" and record["at"] > died + 200 for record in found.records()))
+        await found.until(
+            lambda: any(record["kind"] == "held" and record["at"] > died + 200 for record in found.records())
+        )
         await found.until(lambda: found.held("open") >= 50)
 
     run(act, tmp_path, 6)
@@ -484,8 +526,11 @@
         lost = now_ms()
         await found.until(lambda: found.granted_after(lost + MOST_LEASE_MS))
         # What was asked for since then: a lease ends 2% early.
-        later = [record["at"] for record in found.records() if record["kind"] == "held"
-                 and record["until"] - CONFIG.lease_ms * 49 // 50 > lost]
+        later = [
+            record["at"]
+            for record in found.records()
+            if record["kind"] == "held" and record["until"] - CONFIG.lease_ms * 49 // 50 > lost
+        ]
         assert min(later) >= lost + MOST_LEASE_MS
 
     run(act, tmp_path, 4)
@@ -515,8 +560,10 @@
             process.kill()
         await asyncio.gather(*(found.holder(door) for door in range(5)))
         marks = set(range(6, 11))
-        await found.until(lambda: marks <= {
-            record["mark"] for record in found.records() if record["kind"] == "held" and record["part"]})
+        await found.until(
+            lambda: marks
+            <= {record["mark"] for record in found.records() if record["kind"] == "held" and record["part"]}
+        )
 
     run(act, tmp_path, 5)
 
@@ -563,10 +610,21 @@
         with pytest.raises(CallError, match=f"{MOST_OPS} ops at most"):
             await stream.call(WorkAsk(door=0, mark=1, serial=1, ops=many))
         # All on one connection, which goes on.
-        begin_ = Begin(name="n", id="i", digest="d", customer="c", effect="keyed", left_ms=60_000,
-                       window_ms=60_000, request=b"r", server="s", place="p")
-        answer = msgspec.msgpack.decode(await stream.call(WorkAsk(door=0, mark=1, serial=2, ops=(begin_,))),
-                                        type=WorkAnswer)
+        begin_ = Begin(
+            name="n",
+            id="i",
+            digest="d",
+            customer="c",
+            effect="keyed",
+            left_ms=60_000,
+            window_ms=60_000,
+            request=b"r",
+            server="s",
+            place="p",
+        )
+        answer = msgspec.msgpack.decode(
+            await stream.call(WorkAsk(door=0, mark=1, serial=2, ops=(begin_,))), type=WorkAnswer
+        )
         assert [one.how for one in answer.told] == ["kept"]
         stream.close()
         # What it holds, by the command.
@@ -574,27 +632,53 @@
         (tmp_path / "x").write_text("x" * 16)
         at = "{}:{}".format(*address)
         words = [sys.executable, "-m", "steward", "status", "--at", at, "--secret"]
-        for more, code, said in ((["s"], 0, '"intents": 1'), (["s", "--parked"], 0, "[]"),
-                                 (["x"], 1, "not signed")):
-            done = await asyncio.to_thread(subprocess.run, [*words, str(tmp_path / more[0]), *more[1:]],
-                                           cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+        for more, code, said in (
+            (["s"], 0, '"intents": 1'),
+            (["s", "--parked"], 0, "[]"),
+            (["x"], 1, "not signed"),
+        ):
+            done = await asyncio.to_thread(
+                subprocess.run,
+                [*words, str(tmp_path / more[0]), *more[1:]],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=60,
+                check=False,
+            )
             assert done.returncode == code and said in done.stdout + done.stderr
             assert "Traceback" not in done.stderr
 
     run(act, tmp_path, 0)
 
 
-@pytest.mark.parametrize("words, said", [
-    (["serve", "--data", "x", "--config", "/nowhere", "--secret", "/nowhere"], "No such file"),
-    (["serve"], "Missing option"), (["bogus"], "No such command"),
-])
+@pytest.mark.parametrize(
+    "words, said",
+    [
+        (["serve", "--data", "x", "--config", "/nowhere", "--secret", "/nowhere"], "No such file"),
+        (["serve"], "Missing option"),
+        (["bogus"], "No such command"),
+    ],
+)
 def test_bad_input_is_told_and_is_no_crash(words: list[str], said: str, tmp_path: Path) -> None:
-    done = subprocess.run([sys.executable, "-m", "steward", *words], cwd=ROOT, capture_output=True, text=True,
-                          timeout=30, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "steward", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
     assert done.returncode != 0 and said in done.stderr and "Traceback" not in done.stderr
 
 
 def test_the_check_is_a_command() -> None:
-    done = subprocess.run([sys.executable, "-m", "steward", "check", "--doors", "2", "--depth", "3",
-                           "--walks", "2"], cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "steward", "check", "--doors", "2", "--depth", "3", "--walks", "2"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 0 and done.stdout.count("states to depth 3") == 4
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -148,8 +148,10 @@
     async def act(found: Deaths) -> None:
         keys = [f"k{n}" for n in range(COUNT)]
         found.held.update(keys)
-        asked = [found.ask(n % 4, found.submit("keyed", key, f"a{key}", BODY, 4000), LONG_S)
-                 for n, key in enumerate(keys)]
+        asked = [
+            found.ask(n % 4, found.submit("keyed", key, f"a{key}", BODY, 4000), LONG_S)
+            for n, key in enumerate(keys)
+        ]
         first = [asyncio.create_task(one) for one in asked]
         await until(lambda: all(found.came[key] for key in keys))
         for process in found.doors:
@@ -157,8 +159,10 @@
         assert await asyncio.gather(*first) == ["closed"] * COUNT
         found.held.clear()
         await asyncio.gather(*(found.start_door(door) for door in range(4)))
-        again = [found.ask(n % 3, found.submit("keyed", key, f"b{key}", BODY), LONG_S)
-                 for n, key in enumerate(keys)]
+        again = [
+            found.ask(n % 3, found.submit("keyed", key, f"b{key}", BODY), LONG_S)
+            for n, key in enumerate(keys)
+        ]
         assert set(await asyncio.gather(*again)) == {"served"}
 
     found = fleet(tmp_path, act)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -37,8 +37,18 @@
 
 
 def intent(name: str = "c/k", **values: object) -> Begin:
-    usual = {"name": name, "id": f"{name}-1", "digest": "d", "customer": "c", "effect": "keyed",
-             "left_ms": 2000, "window_ms": 4000, "request": b"r", "server": "s1", "place": "east"}
+    usual = {
+        "name": name,
+        "id": f"{name}-1",
+        "digest": "d",
+        "customer": "c",
+        "effect": "keyed",
+        "left_ms": 2000,
+        "window_ms": 4000,
+        "request": b"r",
+        "server": "s1",
+        "place": "east",
+    }
     return Begin(**{**usual, **values})
 
 
@@ -237,8 +247,9 @@
 def test_nine_in_ten_doors_at_once_leave_two_thousand_pieces_to_the_rest() -> None:
     fleet = Fleet(20)
     for number in range(2000):
-        fleet.hands[number % 20].add(intent(f"c{number % 50}/{number}", customer=f"c{number % 50}",
-                                            left_ms=60_000, window_ms=60_000))
+        fleet.hands[number % 20].add(
+            intent(f"c{number % 50}/{number}", customer=f"c{number % 50}", left_ms=60_000, window_ms=60_000)
+        )
     for door in range(20):
         while fleet.hands[door].queue:
             assert {one.how for one in fleet.ask(door)[0]} == {"kept"}
@@ -364,8 +375,22 @@
 
 
 def state_of(found: Work) -> list[tuple[object, ...]]:
-    return sorted((one.name, one.owner, one.fence, one.tried, one.before, one.how, one.value, one.first_ms,
-                   one.deaths, one.orphan, one.number) for one in found.intents.values())
+    return sorted(
+        (
+            one.name,
+            one.owner,
+            one.fence,
+            one.tried,
+            one.before,
+            one.how,
+            one.value,
+            one.first_ms,
+            one.deaths,
+            one.orphan,
+            one.number,
+        )
+        for one in found.intents.values()
+    )
 
 
 def grown(folder: Path) -> tuple[list[int], list[list[tuple[object, ...]]]]:
@@ -411,8 +436,11 @@
         names = {row[0] for row in states[told - 1]}
         assert names <= set(found.intents)
         # Whoever has work may have been there up to now: nobody goes on with it before a lease is over.
-        assert all(found.is_alive(one.owner, still) or found.is_replaced(one.owner)
-                   for one in found.intents.values() if one.owner)
+        assert all(
+            found.is_alive(one.owner, still) or found.is_replaced(one.owner)
+            for one in found.intents.values()
+            if one.owner
+        )
         book.close()
     book = Book(claim(tmp_path / "whole"))
     _, found = book.open(CONFIG)  # which is kept as a snapshot
@@ -470,8 +498,9 @@
 
 # --- the module ---
 
-KEYED = i.RequestClass(aim_us=2 * S, deadline_us=6 * S, effect=i.Effect.KEYED, group=i.Group.ZONE,
-                       window_us=8 * S)
+KEYED = i.RequestClass(
+    aim_us=2 * S, deadline_us=6 * S, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=8 * S
+)
 ONCE = i.RequestClass(aim_us=2 * S, deadline_us=6 * S, effect=i.Effect.UNSAFE)
 FEW = i.Plan(rate=0.01, burst=1.0)
 THREE = replace(SETTINGS, classes=(KEYED, ONCE), plans=(FEW,))
@@ -508,12 +537,15 @@
 # --- the configuration ---
 
 
-@pytest.mark.parametrize("values, said", [
-    ([1], "no object"),
-    ({"addresses": "h:1", "classes": ["x"], "secret_file": "/nowhere"}, "'x' that is none"),
-    ({"addresses": "h:1", "classes": [], "secret_file": "/nowhere"}, "names no classes"),
-    ({"addresses": "h:1", "classes": ["a"], "secret_file": "/nowhere"}, "cannot read"),
-])
+@pytest.mark.parametrize(
+    "values, said",
+    [
+        ([1], "no object"),
+        ({"addresses": "h:1", "classes": ["x"], "secret_file": "/nowhere"}, "'x' that is none"),
+        ({"addresses": "h:1", "classes": [], "secret_file": "/nowhere"}, "names no classes"),
+        ({"addresses": "h:1", "classes": ["a"], "secret_file": "/nowhere"}, "cannot read"),
+    ],
+)
 def test_what_is_wrong_with_the_part_on_takeover_is_one_line(values: object, said: str) -> None:
     with pytest.raises(ConfigError, match=said) as caught:
         read_takeover(values, {"a": 0})
