--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,5 +2,9 @@
 
 from hypothesis import settings
 
+from tests.known_red import pytest_collection_modifyitems, pytest_terminal_summary
+
+__all__ = ["pytest_collection_modifyitems", "pytest_terminal_summary"]  # hooks
+
 settings.register_profile("molereach", derandomize=True, deadline=None)
 settings.load_profile("molereach")
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,82 @@
+"""The list of tests that are known to fail is enforced: each case is a run of pytest on a tree of its own."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+TESTS = """
+import pytest
+
+def test_red():
+    assert False
+
+def test_green():
+    pass
+
+@pytest.mark.parametrize("n", [1, 2])
+def test_two(n):
+    assert n == 1
+"""
+RED = "test_a.py::test_red | it asserts a falsehood | issue 7\n"
+TWO = "test_a.py::test_two[2] | two is not one | issue 7\n"
+GREEN = "test_a.py::test_green | nothing is wrong with it | issue 7\n"
+
+
+def run(folder: Path, listed: str, *arguments: str) -> subprocess.CompletedProcess[str]:
+    """A run of pytest in a folder with these tests and this list."""
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    (folder / "test_a.py").write_text(TESTS)
+    (folder / "KNOWN-RED.txt").write_text(listed)
+    command = [sys.executable, "-m", "pytest", "-p", "tests.known_red", "-p", "no:cacheprovider"]
+    paths = {"PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1"}
+    return subprocess.run(
+        [*command, *arguments], cwd=folder, env=paths, capture_output=True, text=True, check=False
+    )
+
+
+def test_listed_tests_are_let_pass_and_printed(tmp_path: Path) -> None:
+    result = run(tmp_path, f"# a comment\n\n{RED}{TWO}")
+    assert result.returncode == 0, result.stdout
+    assert "2 passed, 2 xfailed" in result.stdout
+    assert "KNOWN-RED.txt: 2 known failures" in result.stdout
+    assert RED.strip() in result.stdout and TWO.strip() in result.stdout
+
+
+def test_failures_that_are_not_listed_still_fail(tmp_path: Path) -> None:
+    result = run(tmp_path, RED)
+    assert result.returncode == 1
+    assert "1 failed, 2 passed, 1 xfailed" in result.stdout
+
+
+def test_listed_test_that_passes_has_to_be_taken_off(tmp_path: Path) -> None:
+    result = run(tmp_path, RED + TWO + GREEN)
+    assert result.returncode == 1
+    assert "XPASS(strict)" in result.stdout
+
+
+@pytest.mark.parametrize(
+    ("listed", "error"),
+    [
+        ("test_a.py::test_red\n", "not of the form"),
+        ("test_a.py::test_red | it fails\n", "not of the form"),
+        ("test_a.py::test_red | | issue 7\n", "not of the form"),
+        ("test_a.py::test_red | it fails | some day\n", "names no issue"),
+        ("test_a.py::test_gone | it fails | issue 7\n", "there is no such test"),
+        ("test_a.py::test_two[3] | it fails | issue 7\n", "there is no such test"),
+        ("test_gone.py::test_red | it fails | issue 7\n", "there is no such test"),
+        (RED + RED, "listed twice"),
+        (RED + TWO + GREEN + "test_a.py::test_two[1] | it fails | issue 7\n", "4 tests are listed"),
+    ],
+)
+def test_list_that_is_not_in_order_fails_the_run(tmp_path: Path, listed: str, error: str) -> None:
+    result = run(tmp_path, listed)
+    assert result.returncode == pytest.ExitCode.USAGE_ERROR
+    assert error in result.stderr
+
+
+def test_a_part_of_the_tests_may_be_run(tmp_path: Path) -> None:
+    assert run(tmp_path, RED, "-k", "green").returncode == 0
+    assert run(tmp_path, RED, "test_a.py::test_green").returncode == 0
