Keep a command in part through a drain on a new connection, and tell odd settings plainly

Found by review. close() ended a connection that had had no whole command also where the first one had come in part: its bytes were read, and so half consumed (clients.py, close looked at unread bytes only). Now a connection with bytes of a command is kept, and a drain waits for it within its bound.

load() let an infinite limit (OverflowError) and a file nested without end (RecursionError) through as a traceback in place of one plain line, and took settings that are below nothing, infinite or no number. Now each is a ConfigError of one line of at most 200 characters, and numbers of settings lie between 0 and 1e15.

Tests fail with each mend taken out.

--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -42,6 +42,9 @@
 MESSAGE_BYTES = 256
 
 
+MOST_NUMBER = 1e15  # of any setting: a day is 1e11 microseconds
+
+
 class Pairs:
     """The settings of an instance as texts by their paths; unknown paths are never asked for."""
 
@@ -53,7 +56,10 @@
         return default if value == "-" else value
 
     def number(self, path: str, default: float = 0.0) -> float:
-        return float(self.text(path, str(default)))
+        value = float(self.text(path, str(default)))
+        if not 0 <= value <= MOST_NUMBER:  # also false for what is no number
+            raise ValueError(f"{path} is out of range")
+        return value
 
     def whole(self, path: str, default: int = 0) -> int:
         return int(self.number(path, default))
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -471,7 +471,9 @@
         Only our side is ended at first, with nothing read any more. What crosses that is not half consumed,
         and a close over it would reset the connection, and take back an answer that is on its way.
         """
-        if self.replies or self.closing or self.transport.is_closing() or has_unread(self.transport):
+        if self.replies or self.closing or self.transport.is_closing():
+            return
+        if self.reader.buffer or has_unread(self.transport):
             return
         self.closing = True
         self.flush()
@@ -665,9 +667,9 @@
         """Whether a client is being taken in, is within a command, which may be a request's, or has sent what
         is not read."""
         return self.sockets > len(self.connections) or any(
-            connection.state is State.PARTIAL or (connection.reading and has_unread(connection.transport))
+            connection.reader.buffer or (connection.reading and has_unread(connection.transport))
             for connection in self.connections
-            if not connection.transport.is_closing()
+            if not (connection.closing or connection.transport.is_closing())
         )
 
     def close(self) -> None:
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -10,6 +10,8 @@
 
 Address = tuple[str, int]
 
+MOST_TEXT = 200  # characters of an error: a value of the file may be in it
+
 
 class ConfigError(Exception):
     """The environment or the configuration is not usable; the text is one plain line."""
@@ -218,8 +220,13 @@
     )
     if not config.class_numbers or not config.plan_numbers:
         raise ConfigError("the settings name no class or no plan")
+    named = len(config.class_numbers), len(config.plan_numbers)
+    if named != (len(config.settings.classes), len(config.settings.plans)):
+        raise ConfigError("the settings name a class or a plan twice or not at all")
     if not 0 <= config.settings.me < config.settings.gateways:
         raise ConfigError(f"there is no front door {config.settings.me} of {config.settings.gateways}")
+    if config.memory_mb < 1 or config.sockets < 1:
+        raise ConfigError("the limits leave no memory or no sockets")
     return config
 
 
@@ -231,14 +238,21 @@
     try:
         with open(path, "rb") as file:  # pathlib would be loaded for this alone, and stay
             values = json.loads(file.read())
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"cannot read the configuration: {' '.join(str(error).split())}") from error
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"cannot read the configuration: {line_of(error)}") from error
     try:
         return parse(values, env)
+    except ConfigError as error:
+        raise ConfigError(line_of(error)) from error
     except KeyError as error:
-        raise ConfigError(f"the configuration lacks or does not know {error}") from error
-    except (TypeError, ValueError, AttributeError) as error:
-        raise ConfigError(f"the configuration is malformed: {' '.join(str(error).split())}") from error
+        raise ConfigError(f"the configuration lacks or does not know {line_of(error)}") from error
+    except (TypeError, ValueError, AttributeError, IndexError, ArithmeticError) as error:
+        raise ConfigError(f"the configuration is malformed: {line_of(error)}") from error
+
+
+def line_of(error: Exception) -> str:
+    """What an error says, as a part of one line."""
+    return " ".join(str(error).split())[:MOST_TEXT]
 
 
 def reload(env: Mapping[str, str]) -> Config:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,6 @@
 
 from fennelwinch import interface as i
 from molereach import backends, clients, frontdoor
-from molereach.clients import State
 from molereach.config import Address
 from molereach.frontdoor import FrontDoor
 from tests.sockets import PATIENT, PATIENT_MS, Backend, Client, front_door, query, resp, run, submit, value
@@ -79,7 +78,10 @@
     run(job())
 
 
-def test_command_that_comes_slowly_through_a_drain_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("is_new", [False, True])
+def test_command_that_comes_slowly_through_a_drain_is_answered(
+    is_new: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Its first part is read: whoever closes now has half consumed it."""
     monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
     monkeypatch.setattr(frontdoor, "LAST_WRITES_S", 0.05)
@@ -87,9 +89,10 @@
     async def job() -> None:
         async with front_door(Backend()) as (door, address):
             slow = await Client.open(address)
-            assert await slow.ask(resp("PING")) == b"PONG"
+            if not is_new:
+                assert await slow.ask(resp("PING")) == b"PONG"
             slow.send(query("a1")[:40])
-            while not any(one.state is State.PARTIAL for one in door.clients.connections):
+            while not any(one.reader.buffer for one in door.clients.connections):
                 await asyncio.sleep(0.001)
             looked = asyncio.Event()
             left = door.clients.left
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -7,12 +7,17 @@
 import signal
 import subprocess
 import sys
+import tempfile
 from pathlib import Path
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
+from fennelwinch import interface as i
+from fennelwinch.rules import Gateway
 from molereach.__main__ import LINES_AT_ONCE, LINES_SPAN_S, RateLimit
-from molereach.config import load
+from molereach.config import ConfigError, load
 from tests.sockets import (
     CUSTOMER,
     HEAD,
@@ -224,3 +229,71 @@
     later = line(100.0 + LINES_SPAN_S)
     assert limit.filter(later)
     assert later.getMessage() == f"odd one ({500 - LINES_AT_ONCE} like it were left out)"
+
+
+def places(values: object, path: tuple[str | int, ...] = ()) -> list[tuple[str | int, ...]]:
+    """The paths of all values within a configuration."""
+    inner = (
+        values.items() if isinstance(values, dict) else enumerate(values) if isinstance(values, list) else ()
+    )
+    return [found for key, value in inner for found in ((*path, key), *places(value, (*path, key)))]
+
+
+ODD = [
+    None,
+    True,
+    -1,
+    0,
+    0.5,
+    1e400,
+    float("nan"),
+    10**400,
+    "",
+    "x",
+    "-1",
+    "nan",
+    "9" * 5000,
+    [],
+    {},
+    [[]],
+    [1],
+    {"a": 1},
+]
+
+
+@given(st.sampled_from(places(config())), st.sampled_from(ODD))
+@example(("limits", "sockets"), 1e400)
+@example(("settings", "categories", 0, "deadline-us"), -1)
+def test_odd_value_anywhere_is_read_or_a_plain_error(path: tuple[str | int, ...], odd: object) -> None:
+    """And what is read can be served by."""
+    values = json.loads(json.dumps(config()))
+    inner = values
+    for key in path[:-1]:
+        inner = inner[key]
+    inner[path[-1]] = odd
+    with tempfile.TemporaryDirectory() as folder:
+        env = write(Path(folder), values)
+        try:
+            found = load(env)
+        except ConfigError as error:
+            assert "\n" not in str(error) and len(str(error)) < 300
+            return
+    gateway = Gateway(found.settings)
+    server = i.Server("s1", 0, 0, 0, i.ServerState.UP)
+    gateway.handle(1_000_000, i.ServerList(i.ListKind.SAVED, 1, (server,)))
+    for number in range(3):
+        gateway.handle(1_000_000 + number, i.Request(f"r{number}", 0, 0, "c", 1_000_000))
+    gateway.handle(5_000_000, i.Timer(0))
+
+
+def test_configuration_that_is_nested_without_end_is_a_plain_error(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match="cannot read"):
+        load(write(tmp_path, "[" * 100_000))
+
+
+@pytest.mark.parametrize("odd", [-1, float("nan"), 1e400, 1e16])
+def test_setting_that_is_out_of_range_is_told(odd: float, tmp_path: Path) -> None:
+    values = json.loads(json.dumps(config()))
+    values["settings"]["plans"][0]["units-per-s"] = odd
+    with pytest.raises(ConfigError, match=r"plans\.0\.units-per-s is out of range"):
+        load(write(tmp_path, values))
