Miss no reload that is asked for while a gateway starts

Found by review: SIGHUP was ignored from the start of main until the loop had a handler, on the ground that the start reads the file in any case. One that came before main ended the process, as the interpreter's start leaves SIGHUP at its default.

Result: a test whose configuration is a pipe sends SIGHUP while the start stands still in it; with the mend taken out the new address is never asked.

--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import threading
 
 import uvloop
 
@@ -54,8 +55,19 @@
     log.info("%s", door.cost_line())
 
 
-async def serve(config: Config) -> None:
-    """Serve until SIGTERM or SIGINT, then drain; on SIGHUP take over the configuration."""
+def note(number: int) -> threading.Event:
+    """Have a signal noted until the loop handles it: the event is set where it has come."""
+    came = threading.Event()
+    signal.signal(number, lambda *_: came.set())
+    return came
+
+
+async def serve(config: Config, reload_asked: threading.Event) -> None:
+    """Serve until SIGTERM or SIGINT, then drain; on SIGHUP take over the configuration.
+
+    `reload_asked` is set where SIGHUP came while the configuration was read, or after: what was read may be
+    the one before.
+    """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -76,6 +88,8 @@
     door = FrontDoor(config)
     loop.add_signal_handler(signal.SIGHUP, take_over, door)
     loop.add_signal_handler(signal.SIGUSR1, tell_costs, door)
+    if reload_asked.is_set():
+        take_over(door)
     if keep:
         keep.recall(door)
     if config.takeover:
@@ -110,9 +124,9 @@
 
 
 def main() -> int:
-    # Whoever reloads or asks too early is not to kill us; the start reads the file in any case.
-    for number in (signal.SIGHUP, signal.SIGUSR1):
-        signal.signal(number, signal.SIG_IGN)
+    # Whoever reloads or asks too early is not to kill us, and a reload is not to be missed.
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    reload_asked = note(signal.SIGHUP)
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
@@ -121,7 +135,7 @@
     try:
         config = load(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, reload_asked))
     except ConfigError as error:
         print(f"molereach: {error}", file=sys.stderr)
         return 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -136,6 +136,43 @@
     return process, listen
 
 
+def test_reload_that_is_asked_for_while_the_configuration_is_read_is_not_missed(tmp_path: Path) -> None:
+    """The file is a pipe: the start stands still in it until somebody writes."""
+
+    async def job() -> None:
+        fifo, moved = tmp_path / "config.json", Watch(lambda writer: asyncio.sleep(60))
+        os.mkfifo(fifo)
+        free, target = refusing_address(), await moved.start()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "molereach",
+            cwd=ROOT,
+            env={**os.environ, "PROXY_CONFIG": str(fifo)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        old = config(listen=f"{HOST}:{free[1]}", discovery=f"{HOST}:{refusing_address()[1]}")
+        while True:  # until the start has the pipe open
+            try:
+                end = os.open(fifo, os.O_WRONLY | os.O_NONBLOCK)
+                break
+            except OSError:
+                await asyncio.sleep(0.01)
+        newer = tmp_path / "newer.json"
+        newer.write_text(json.dumps({**old, "discovery": f"{HOST}:{target[1]}"}))
+        newer.replace(fifo)
+        process.send_signal(signal.SIGHUP)
+        os.write(end, json.dumps(old).encode())
+        os.close(end)
+        while not moved.targets:
+            await asyncio.sleep(0.01)
+        process.terminate()
+        await process.wait()
+        assert process.returncode == 0
+
+    run(job())
+
+
 def test_reload_takes_the_address_of_discovery_from_the_file(tmp_path: Path) -> None:
     """PROXY_DISCOVERY is as old as the process, and a file that cannot be used changes nothing."""
 
