Read lists that end with their connection

Found by review: an answer with neither length nor chunks is whole when its connection ends, which is a form of HTTP/1.1 that h11 is to be told of (receive_data(b"")). WatchConnection had no eof_received, so what stood behind the last line's end of such a list was dropped. Now the end is handed on; a watch that breaks off is no error in the log, as before.

Result: the test fails with the mend taken out.

--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -140,16 +140,27 @@
 
     def data_received(self, data: bytes) -> None:
         self.heard, self.answered = time.monotonic(), True
+        self.read(data)
+
+    def eof_received(self) -> None:
+        """An answer without a length is whole with that; any other one is broken off."""
+        self.read(b"")
+
+    def read(self, data: bytes) -> None:
+        """Take what comes; nothing is the connection's end."""
         try:
             self.http.receive_data(data)
             while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
                 self.take(event)
+                if isinstance(event, h11.ConnectionClosed):  # which comes again and again
+                    break
             self.note_progress()
         except StaleError as error:
             log.warning("the watch brings an older list: %s", error)
             self.close()
         except (h11.ProtocolError, ValueError, KeyError, TypeError, AttributeError) as error:
-            log.error("the watch brings what makes no sense: %s", error)
+            if data or not isinstance(error, h11.ProtocolError):  # a watch may end at any time
+                log.error("the watch brings what makes no sense: %s", error)
             self.close()
 
     def take(self, event: h11.Event) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -100,12 +100,30 @@
     async def job() -> None:
         body = indented(catalog(5, [entry("s1", AT)])).strip()
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-        moved = Moved(await Watch(script(HEAD)).start())
-        moved.discovery.move((await Watch(script(answer, stay=False)).start(),))
+        old, new = Watch(script(HEAD)), Watch(script(answer, stay=False))  # one let go of stops listening
+        moved = Moved(await old.start())
+        moved.discovery.move((await new.start(),))
+        assert await moved.names() == (i.ListKind.FULL, ["s1"])
+        moved.discovery.source.close()
+
+    run(job())
+
+
+def test_whole_list_that_ends_with_its_connection_is_read(caplog: pytest.LogCaptureFixture) -> None:
+    """It has neither a length nor chunks nor a last line's end."""
+
+    async def job() -> None:
+        answer = (
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + indented(catalog(5, [entry("s1", AT)])).strip()
+        )
+        old, new = Watch(script(HEAD, stay=False)), Watch(script(answer, stay=False))
+        moved = Moved(await old.start())
+        moved.discovery.move((await new.start(),))
         assert await moved.names() == (i.ListKind.FULL, ["s1"])
         moved.discovery.source.close()
 
     run(job())
+    assert "makes no sense" not in caplog.text
 
 
 def test_an_object_that_does_not_go_on_is_given_up_though_empty_lines_come(
