--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,24 @@
 from molereach import backends, clients, frontdoor
 from molereach.config import Address
 from molereach.frontdoor import FrontDoor
-from tests.sockets import PATIENT, PATIENT_MS, Backend, Client, front_door, query, resp, run, submit, value
+from tests.sockets import (
+    CONFIG,
+    HEAD,
+    PATIENT,
+    PATIENT_MS,
+    Backend,
+    Client,
+    Watch,
+    catalog,
+    chunk,
+    entry,
+    front_door,
+    query,
+    resp,
+    run,
+    submit,
+    value,
+)
 
 
 @contextlib.contextmanager
@@ -314,3 +331,33 @@
                 assert wire.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) == 1
 
     run(job())
+
+
+def test_idle_clients_that_fill_the_descriptors_leave_room_for_discovery_and_scan_servers() -> None:
+    """They come while discovery is silent; what it brings at its return is heard, and served by."""
+
+    async def job() -> None:
+        backend, back = Backend(), asyncio.Event()
+        listed = catalog(7, [entry("s0", await backend.start())])
+
+        async def silent(writer: asyncio.StreamWriter) -> None:
+            await back.wait()
+            writer.write(HEAD + chunk(listed))
+            await asyncio.Event().wait()
+
+        watch = Watch(silent)
+        config = replace(CONFIG, settings=PATIENT, sockets=48, discovery=(await watch.start(),))
+        door = FrontDoor(config)
+        await door.start()
+        idle = [await Client.open(door.address) for _ in range(3 * door.clients.most)]
+        asks = await Client.open(door.address)
+        asks.send(query("a1", wait_ms=PATIENT_MS))
+        while "a1" not in door.open:
+            await asyncio.sleep(0.001)
+        assert door.clients.sockets <= door.clients.most
+        back.set()
+        assert await asks.answer() == b"ok"
+        assert len(watch.targets) == 1 and len(idle) > door.clients.most
+        door.close()
+
+    run(job())
