--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -57,11 +57,13 @@
     return found
 
 
-async def resting(door: FrontDoor, address: Address) -> Client:
-    """A client that has been answered."""
-    client = await Client.open(address)
-    assert await client.ask(query(f"rest{len(door.clients.connections)}")) == b"ok"
-    return client
+async def fill(door: FrontDoor, client: socket.socket, backend: Backend) -> None:
+    """Have as many commands of a client open as may be, so that nothing more is read from it."""
+    for number in range(clients.MOST_PIPELINED + 4):
+        client.sendall(submit(f"a{number}", wait_ms=PATIENT_MS))
+    await backend.received(5)
+    while len(door.open) < clients.MOST_PIPELINED:
+        await asyncio.sleep(0.001)
 
 
 def test_request_that_crosses_a_close_resets_nothing_and_is_not_consumed(
@@ -160,11 +162,7 @@
         backend = Backend(lambda words: None)
         async with front_door(backend, settings=PATIENT) as (door, address):
             with raw_client(address) as client:
-                for number in range(20):
-                    client.sendall(submit(f"a{number}", wait_ms=PATIENT_MS))
-                await backend.received(5)
-                while len(door.open) < clients.MOST_PIPELINED:
-                    await asyncio.sleep(0.001)
+                await fill(door, client, backend)
                 client.shutdown(socket.SHUT_RDWR)
             out = list(zip(backend.commands, backend.writers, strict=True))
             for words, writer in out:
@@ -190,9 +188,7 @@
         backend = Backend(lambda words: None)
         async with front_door(backend, settings=PATIENT) as (door, address):
             with raw_client(address) as client:
-                for number in range(20):
-                    client.sendall(submit(f"a{number}", wait_ms=PATIENT_MS))
-                await backend.received(5)
+                await fill(door, client, backend)
             while door.open or door.clients.sockets or door.gateway.jobs:
                 await asyncio.sleep(0.001)
             assert door.costs.gone == clients.MOST_PIPELINED
