--- a/model/books.py
+++ b/model/books.py
@@ -23,7 +23,7 @@
         self.classes, self.plans = classes, plans
         self.asks = self.tries = self.attempts = self.handshakes = self.crossed = 0
         self.opened: Counter[int] = Counter()  # handshakes by second
-        self.halls = 0  # keyed asks that ran in a further hall
+        self.zones = 0  # keyed asks that ran in a further zone
         self.points: list[Point] = []  # what was asked inside the quotas
         self.last_back_us = -1  # when the last killed or ended door was back, from the run's start
         self.offered: dict[tuple[int, int, int], float] = defaultdict(float)  # by second, class and plan
--- a/model/clients.py
+++ b/model/clients.py
@@ -67,19 +67,19 @@
         "customer",
         "end_us",
         "first_us",
-        "halls",
         "ideal",
         "kind",
         "tries",
         "work_us",
         "worth",
+        "zones",
     )
 
     def __init__(self, customer: Customer, kind: int, work_us: float, worth: float, now: int) -> None:
         self.customer, self.kind, self.work_us, self.worth = customer, kind, work_us, worth
         self.first_us = now
         self.tries, self.ideal = 0, False
-        self.halls: frozenset[int] = frozenset()  # where it has run
+        self.zones: frozenset[int] = frozenset()  # where it has run
         self.cause = "a slow answer"  # why it is not served yet: of its last try that was not
         self.aim_us = self.end_us = now
 
--- a/model/day.py
+++ b/model/day.py
@@ -234,7 +234,7 @@
             "peer_bytes": books.peer_bytes,
             "kept": self.kept.result(),
             "leases": self.leases.asks,
-            "halls": books.halls,
+            "zones": books.zones,
             "outcomes": dict(sorted(books.outcomes.items())),
             "broken": dict(sorted(books.breaks.items())),
             "sums": books.check(),
--- a/model/doors.py
+++ b/model/doors.py
@@ -277,7 +277,7 @@
         )
 
     def like(self, server: ScanServer) -> str:
-        """Another scan server of its hall that this door knows."""
+        """Another scan server of its zone that this door knows."""
         servers = self.day.servers
         return next(
             (name for name in sorted(self.named) if name in servers and servers[name].zone == server.zone), ""
@@ -379,7 +379,7 @@
         rule = day.scenario.classes[state.try_.ask.kind]
         if rule.keyed and number > state.proven and server is not None and state.grouped is not None:
             if server.zone != state.grouped.zone:
-                day.books.broke("a keyed request sent on to another hall", where)
+                day.books.broke("a keyed request sent on to another zone", where)
             elif now - state.since_us > rule.window_ms * day.scenario.stretch * MS + RULE_SLACK_US:
                 day.books.broke("a keyed request sent after its window", where)
 
@@ -420,9 +420,9 @@
     def ran(self, life: int, server: ScanServer, state: Open, attempt: Attempt, work: Work, how: str) -> None:
         """It has ended at its server, whoever hears of that."""
         ask = state.try_.ask
-        if how != "full" and self.day.scenario.classes[ask.kind].keyed and server.zone not in ask.halls:
-            self.day.books.halls += bool(ask.halls)
-            ask.halls |= {server.zone}
+        if how != "full" and self.day.scenario.classes[ask.kind].keyed and server.zone not in ask.zones:
+            self.day.books.zones += bool(ask.zones)
+            ask.zones |= {server.zone}
         self.day.network.from_server(self, server, how, self.answered_by, life, state, attempt, work, how)
 
     def answered_by(self, life: int, state: Open, attempt: Attempt, work: Work, how: str) -> None:
--- a/model/experiment.py
+++ b/model/experiment.py
@@ -188,7 +188,7 @@
         / asks,
         "units beyond quota": float(total["units_beyond"]),
         "broken rules": float(sum(total["broken"].values())),
-        "keyed in two halls": float(total.get("halls", 0)),
+        "keyed in two zones": float(total.get("zones", 0)),
         **way_figures(total.get("way")),
     }
 
--- a/model/kept.py
+++ b/model/kept.py
@@ -1,6 +1,6 @@
 """Work in hand that outlives its door, in the model: what the steward and the doors make of a death.
 
-Of docs/takeover.md it has: whose the work is, the lease, one taker by chance, the hall, who asks again, and
+Of docs/takeover.md it has: whose the work is, the lease, one taker by chance, the zone, who asks again, and
 answers that are kept. Not in it: the time that the log takes (some milliseconds), the steward's own failures,
 doors that are paused, and bounds.
 """
--- a/model/network.py
+++ b/model/network.py
@@ -1,4 +1,4 @@
-"""The way between doors, scan servers and peers: delay, loss, halls cut off and servers that fall silent."""
+"""The way between doors, scan servers and peers: delay, loss, zones cut off and servers that fall silent."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 
 
 class Network:
-    """Delays are a run's mean for a pair of halls, with jitter; what is cut says and hears nothing."""
+    """Delays are a run's mean for a pair of zones, with jitter; what is cut says and hears nothing."""
 
     def __init__(self, day: Day, clock: Clock, spec: Net, stream: Stream) -> None:
         self.day, self.clock, self.spec, self.stream = day, clock, spec, stream
         self.same_us, self.cross_us = stream.span(spec.same_ms) * MS, stream.span(spec.cross_ms) * MS
         self.client_us, self.jitter = stream.span(spec.client_ms) * MS, stream.span(spec.jitter)
         self.peer_us, self.peer_loss = stream.span(spec.peer_ms) * MS, stream.span(spec.peer_loss)
-        self.cut: set[int] = set()  # halls that reach only themselves
+        self.cut: set[int] = set()  # zones that reach only themselves
         self.silent: set[str] = set()  # servers that nothing reaches
         self.answers_lost = 0.0  # share of answers that never come
         self.messages_lost = 0.0  # share of peers' messages lost on top
--- a/model/report.py
+++ b/model/report.py
@@ -100,9 +100,9 @@
     ordered = sorted(run.servers, key=lambda server: (server["zone"], -server["served"]))
     for zone in zones:
         found = [(n, server["served"]) for n, server in enumerate(ordered) if server["zone"] == zone]
-        axes[4].bar([n for n, _ in found], [served for _, served in found], width=1.0, label=f"hall {zone}")
+        axes[4].bar([n for n, _ in found], [served for _, served in found], width=1.0, label=f"zone {zone}")
     axes[4].set(
-        title="load by server, the most loaded of each hall first", ylabel="requests served", xlabel="server"
+        title="load by server, the most loaded of each zone first", ylabel="requests served", xlabel="server"
     )
     for axis in axes:
         if axis.get_legend_handles_labels()[0]:
--- a/model/scenario.py
+++ b/model/scenario.py
@@ -167,7 +167,7 @@
     """What befalls the fleet, from `at_s` on for `for_s`.
 
     `part` is the share of doors or servers struck, `size` the strength (a factor or a share of the usual
-    load), `zone` the hall, where the kind strikes one. `back_s` is how long killed doors are away, `state`
+    load), `zone` the zone, where the kind strikes one. `back_s` is how long killed doors are away, `state`
     what they find of what they stored, where doors store anything.
     """
 
@@ -275,7 +275,7 @@
                 raise ModelError(f"{name}: {key} goes from {value[0]:g} down to {value[1]:g}")
     for trouble in scenario.troubles:
         if trouble.zone >= scenario.net.zones:
-            raise ModelError(f"{name}: {trouble.kind} strikes hall {trouble.zone} of {scenario.net.zones}")
+            raise ModelError(f"{name}: {trouble.kind} strikes zone {trouble.zone} of {scenario.net.zones}")
         if trouble.at_s > scenario.length_s:
             raise ModelError(f"{name}: {trouble.kind} begins after the day's end")
 
--- a/model/servers.py
+++ b/model/servers.py
@@ -99,7 +99,7 @@
         mean_work_us: float,
         cold: bool,
     ) -> None:
-        """`place` is its hall and cell; a cold one starts now, a warm one started long ago."""
+        """`place` is its zone and cell; a cold one starts now, a warm one started long ago."""
         self.clock, self.traits, self.stream, self.name = clock, traits, stream, name
         self.zone, self.cell = place
         self.mean_work_us = mean_work_us
--- a/model/troubles.py
+++ b/model/troubles.py
@@ -168,7 +168,7 @@
             self.later(trouble.for_s * number / max(1, len(old)), self.retire, server)
 
     def zone_loss(self, trouble: Trouble) -> None:
-        """A hall's servers vanish (`size` above a half: in silence, else their processes die) and come back
+        """A zone's servers vanish (`size` above a half: in silence, else their processes die) and come back
         cold; `part` of its doors go with them."""
         silent = trouble.size > 0.5
         struck = [server for server in self.running() if server.zone == trouble.zone]
--- a/rig/checks.py
+++ b/rig/checks.py
@@ -163,7 +163,7 @@
 
 
 def executions(seen: Seen) -> list[Violation]:
-    """No request runs more often than its class allows: a keyed one runs in one hall, whose scan servers drop
+    """No request runs more often than its class allows: a keyed one runs in one zone, whose scan servers drop
     its repeats, and only while they remember it."""
     found = []
     rules = {rule.name: rule for rule in seen.plan.fleet.classes}
@@ -174,14 +174,14 @@
         window = rules[ran[0]["class"]].window_ms * seen.plan.fleet.stretch * MS
         for record in ran[1:]:
             if record["zone"] != ran[0]["zone"]:
-                found.append(Violation("executions", record["at"], f"keyed request {name} in two halls"))
+                found.append(Violation("executions", record["at"], f"keyed request {name} in two zones"))
             elif record["at"] - ran[0]["at"] > window + seen.plan.limits.drain_ms * MS:
                 found.append(Violation("executions", record["at"], f"keyed request {name} after its window"))
     return found
 
 
 def kept_work(seen: Seen) -> list[Violation]:
-    """Where work in hand is kept, a key runs in one hall, by whichever requests it is asked for; and once a
+    """Where work in hand is kept, a key runs in one zone, by whichever requests it is asked for; and once a
     client was told its outcome nothing of it runs again. Excused: what a door logged as gone on without."""
     if not seen.plan.takeover:
         return []
@@ -206,7 +206,7 @@
     slack = seen.plan.limits.drain_ms * MS
     for key, records in ran.items():
         if len({record["zone"] for record in records}) > 1:
-            found.append(Violation("kept work", records[-1]["at"], f"key {key} ran in two halls"))
+            found.append(Violation("kept work", records[-1]["at"], f"key {key} ran in two zones"))
         found += [
             Violation("kept work", record["at"], f"key {key} ran again after its client was told")
             for record in records
--- a/rig/deaths.py
+++ b/rig/deaths.py
@@ -37,7 +37,7 @@
     "after the client has it",
 )
 EFFECTS = ("keyed", "unsafe")
-HALLS = 2
+ZONES = 2
 TIME_MS = 3000  # `d` of a request
 WORK_S = 0.02  # that a scan server takes
 PATIENCE_S = 6.0  # of a client that comes again: past the lease, and as long as an answer is kept
@@ -59,7 +59,7 @@
     key: str
     door: int
     reached: bool = False  # the point: else the work ended without it
-    ran: list[int] = field(default_factory=list)  # halls of its executions
+    ran: list[int] = field(default_factory=list)  # zones of its executions
     first: str = ""  # how it ended at its first client
     last: str = ""  # what its client got in the end
     tries: int = 0
@@ -70,7 +70,7 @@
         if self.effect == "unsafe" and len(self.ran) > 1:
             return f"{self.key} may not be repeated, and ran {len(self.ran)} times"
         if len(set(self.ran)) > 1:
-            return f"{self.key} ran in {len(set(self.ran))} halls"
+            return f"{self.key} ran in {len(set(self.ran))} zones"
         kept = self.point in POINTS[5:] and self.effect == "keyed"
         if kept and (self.last != "served" or len(self.ran) > 1):
             return f"{self.key}: its outcome was kept, and its client got '{self.last}'"
@@ -78,10 +78,10 @@
 
 
 class Scan(asyncio.Protocol):
-    """A door's connection to one of the scan servers, which drop what they know in their hall."""
+    """A door's connection to one of the scan servers, which drop what they know in their zone."""
 
-    def __init__(self, fleet: Deaths, door: int, hall: int) -> None:
-        self.fleet, self.door, self.hall = fleet, door, hall
+    def __init__(self, fleet: Deaths, door: int, zone: int) -> None:
+        self.fleet, self.door, self.zone = fleet, door, zone
         self.reader, self.ended = CommandReader(), False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -104,14 +104,14 @@
             self.transport.write(b"+PONG\r\n")
             return
         key = self.fleet.key_of(words)
-        self.fleet.came[key].append((self.door, self.hall))
+        self.fleet.came[key].append((self.door, self.zone))
         if key in self.fleet.poison:
             self.fleet.doors[self.door].kill()
             return
         loop = asyncio.get_running_loop()
-        if (self.hall, key) not in self.fleet.known:  # else its hall remembers it, and drops the repeat
-            self.fleet.known.add((self.hall, key))
-            self.fleet.ran[key].append(self.hall)
+        if (self.zone, key) not in self.fleet.known:  # else its zone remembers it, and drops the repeat
+            self.fleet.known.add((self.zone, key))
+            self.fleet.ran[key].append(self.zone)
         death = self.fleet.dying.get(key)
         if death is not None and death.point == "after the write":
             self.fleet.strike(death)
@@ -190,7 +190,7 @@
         self.dying: dict[str, Death] = {}  # by key
         self.ran: dict[str, list[int]] = defaultdict(list)
         self.known: set[tuple[int, str]] = set()
-        self.came: dict[str, list[tuple[int, int]]] = defaultdict(list)  # by key: doors and halls of attempts
+        self.came: dict[str, list[tuple[int, int]]] = defaultdict(list)  # by key: doors and zones of attempts
         self.held: set[str] = set()  # keys that scan servers do not answer
         self.poison: set[str] = set()  # keys that kill whichever door sends them
         self.cut: set[int] = set()  # doors that do not reach the steward
@@ -226,9 +226,9 @@
         await self.start_steward()
         for number in range(len(self.doors)):
             scans = []
-            for scan in range(2 * HALLS):
+            for scan in range(2 * ZONES):
                 server = await loop.create_server(
-                    lambda door=number, hall=scan % HALLS: Scan(self, door, hall), HOST, 0
+                    lambda door=number, zone=scan % ZONES: Scan(self, door, zone), HOST, 0
                 )
                 self.servers.append(server)
                 scans.append(server.sockets[0].getsockname())
@@ -248,7 +248,7 @@
             {
                 "instanceId": f"s-{n}",
                 "hostPort": text(address),
-                "zone": f"hall-{n % HALLS}",
+                "zone": f"zone-{n % ZONES}",
                 "machineType": "m1",
                 "cell": n,
                 "lifecycle": "SERVING",
@@ -291,8 +291,8 @@
             "settings": {
                 "me": number,
                 "balancers": len(self.doors),
-                "zone": number % HALLS,
-                "zones": [f"hall-{n}" for n in range(HALLS)],
+                "zone": number % ZONES,
+                "zones": [f"zone-{n}" for n in range(ZONES)],
                 "kinds": ["m1"],
                 "categories": classes,
                 "plans": [{"name": "standard", "units-per-s": 1000.0, "burst": 1000.0, "value-factor": 1.0}],
--- a/rig/plan.py
+++ b/rig/plan.py
@@ -1,6 +1,6 @@
 """Plans: a fleet, and the faults between and on its processes, read from TOML and checked in full.
 
-`[fleet]` is a scenario of the model's (`model/scenario.py`): doors, servers, halls, customers, classes, plans
+`[fleet]` is a scenario of the model's (`model/scenario.py`): doors, servers, zones, customers, classes, plans
 of quota. What befalls it stands in `[[faults]]`, which the model plays too where it has the like. An unknown
 key, a wrong type or a figure out of its range is a RigError of one line that names the key.
 """
@@ -60,7 +60,7 @@
 class Fault(Part):
     """One fault, from `at_s` on.
 
-    On processes (`on`, a `part` of them or those of `numbers`, of one hall where `zone` says so): `kill`
+    On processes (`on`, a `part` of them or those of `numbers`, of one zone where `zone` says so): `kill`
     (SIGKILL), `term` (SIGTERM), `pause` (SIGSTOP for `for_s`), `full_disk` for `for_s`. Killed and ended ones
     are started again after a time from `back_s`, with `state`: what they stored (`kept`), nothing (`none`),
     an `old` copy (half of the time up to the fault old), a `stale` snapshot (of doors, an hour old), or a
@@ -69,7 +69,7 @@
     `times` strikes the same ones again, each time once they serve.
     On scan servers: `bad` (a `size` of answers are errors), `errors_fast` (at once), `slow` (`size` times),
     `replace` (they drain and leave over `for_s`, cold ones come).
-    On links (`link`, a `part` of them, those that leave hall `zone`): `cut` (reset, and refused), `hold`
+    On links (`link`, a `part` of them, those that leave zone `zone`): `cut` (reset, and refused), `hold`
     (open and silent), `delay` (`size` ms), `lose` (a share `size` of the datagrams; of TCP's chunks, 200 ms
     late), `repeat` and `reorder` (of datagrams), `limit` (`size` bytes a second), `break` (a share `size` of
     chunks is cut in the middle, with the connection); `way` is from the connecting side `there`, from the
@@ -172,7 +172,7 @@
         if fault.at_s > fleet.length_s:
             raise RigError(f"{name}: {fault.kind} begins after the end")
         if fault.zone is not None and fault.zone >= fleet.net.zones:
-            raise RigError(f"{name}: {fault.kind} strikes hall {fault.zone} of {fleet.net.zones}")
+            raise RigError(f"{name}: {fault.kind} strikes zone {fault.zone} of {fleet.net.zones}")
         if fault.numbers and max(fault.numbers) >= counts[fault.on]:
             raise RigError(
                 f"{name}: {fault.kind} strikes {fault.on} {max(fault.numbers)} of {counts[fault.on]}"
--- a/rig/scan.py
+++ b/rig/scan.py
@@ -23,7 +23,7 @@
 from rig.program import Order, Told, orders, start
 from rig.realtime import RealClock, now_us
 from rig.relay import HOST
-from rig.world import World, hall
+from rig.world import World, zone_name
 from roster.registration import Registration, RegistrationError
 
 LEAST_WORK_US = 500.0
@@ -116,7 +116,7 @@
         started = round((time.time() + self.told.clock_s) * 1000) if self.told.cold else 0
         values = {
             "address": address,
-            "zone": hall(self.zone),
+            "zone": zone_name(self.zone),
             "machine_type": "m1",
             "cell": self.server.cell,
             "started_ms": started,
--- a/rig/world.py
+++ b/rig/world.py
@@ -56,7 +56,7 @@
             "me": number,
             "balancers": scenario.doors,
             "zone": number % scenario.net.zones,
-            "zones": [hall(zone) for zone in range(scenario.net.zones)],
+            "zones": [zone_name(zone) for zone in range(scenario.net.zones)],
             "kinds": ["m1"],
             "categories": [
                 {
@@ -115,9 +115,9 @@
         }
 
 
-def hall(zone: int) -> str:
-    """A hall by its name in settings and list."""
-    return f"hall-{zone}"
+def zone_name(zone: int) -> str:
+    """A zone by its name in settings and list."""
+    return f"zone-{zone}"
 
 
 class Asked:
--- a/steward/check_work.py
+++ b/steward/check_work.py
@@ -1,12 +1,12 @@
 """The model checker's world for work in hand: doors, the steward, scan servers and a client that asks again.
 
-Two halls with a scan server each; two pieces of work, one keyed, one that may not be repeated. A door begins
+Two zones with a scan server each; two pieces of work, one keyed, one that may not be repeated. A door begins
 a piece of work when its client asks, writes what it holds, and tells its client what has come once that is
 kept. Messages may arrive any number of times, in any order, late or never; a door may be killed and start
 again, or stand still while time goes on; the steward may be killed and come back with its log.
 
 What must hold in every state: what may not be repeated has run once at most; what is keyed has run in one
-hall; two doors are never free to write the same piece of work; and a client that was told an outcome could
+zone; two doors are never free to write the same piece of work; and a client that was told an outcome could
 ask any door for it, and would get the same.
 """
 
@@ -23,7 +23,7 @@
 
 LEASE_MS, SECOND_MS = 1000, 400
 LEFT_MS, WINDOW_MS = 6000, 20_000
-HALLS = ("east", "west")
+ZONES = ("east", "west")
 NAMES = {"keyed": "keyed", "unsafe": "unsafe"}  # of the work, and its effect
 MOST_STARTS, MOST_ASKS, MOST_WRITES = 2, 6, 3  # of a door; of a start; of a piece of work
 
@@ -89,7 +89,7 @@
     Kind("takeover by a time-out", work=EarlyWork),
     Kind("the outcome kept after the answer", keeps_first=False),
     Kind("the write before the intent", asks_first=False),
-    Kind("the hall not told", work=Anywhere),
+    Kind("the zone not told", work=Anywhere),
 )
 
 
@@ -98,7 +98,7 @@
     """What a door does with one piece of work."""
 
     fence: int = 0
-    place: str = ""  # where it is bound to; none: to no hall
+    place: str = ""  # where it is bound to; none: to no zone
     number: int = 0
     told: str = ""  # begun, kept, tried, written, came, ended
     unrun: bool = True
@@ -123,7 +123,7 @@
     log: list[object]
     doors: list[Door]
     messages: tuple[object, ...] = ()
-    ran: dict[str, tuple[str, ...]] = field(default_factory=dict)  # by work: the halls of its executions
+    ran: dict[str, tuple[str, ...]] = field(default_factory=dict)  # by work: the zones of its executions
     answered: tuple[str, ...] = ()  # work whose client was told its outcome
 
     def copy(self) -> World:
@@ -170,7 +170,7 @@
         world.doors.append(Door(kind.hand(door, 1)))
     if held:
         for name in NAMES:
-            ask_for(world.doors[0], name, HALLS[0], 0)
+            ask_for(world.doors[0], name, ZONES[0], 0)
     for door in world.doors:
         take_answer(world, door, serve(world, door.hand.ask(world.now_ms)))
     return world
@@ -214,7 +214,7 @@
                 job.fence, job.told = one.fence, "tried"
                 if one.place:
                     job.unrun = False
-                    if one.place != job.place:  # it may have run in the other hall: it goes on there
+                    if one.place != job.place:  # it may have run in the other zone: it goes on there
                         again(door, op.name, job, one.place, False)
             elif one.how == "elsewhere":
                 door.hand.add(op)  # it asks again
@@ -229,7 +229,7 @@
         if one.how == "lost" and job.fence == getattr(op, "fence", 0):
             job.told = "over"
     for one in handed:
-        place = one.place or HALLS[door.hand.door % 2]
+        place = one.place or ZONES[door.hand.door % 2]
         job = door.jobs[one.name] = Job(fence=one.fence, place=place, unrun=not one.place)
         again(door, one.name, job, place, False)
 
@@ -288,12 +288,12 @@
 def of_door(world: World, number: int, door: Door) -> Iterator[tuple[str, Act]]:
     """What one start of a door may do."""
     who = f"door {door.hand.door} (start {door.hand.mark})"
-    hall = HALLS[door.hand.door % 2]
+    zone = ZONES[door.hand.door % 2]
     for name in NAMES:
         if name not in door.jobs and name not in world.answered:
             yield (
                 f"a client asks {who} for the {name} work",
-                lambda found, name=name: ask_for(found.doors[number], name, hall, number),
+                lambda found, name=name: ask_for(found.doors[number], name, zone, number),
             )
     if door.hand.serial <= MOST_ASKS:
         yield f"{who} asks", lambda found: ask(found, found.doors[number])
@@ -341,14 +341,14 @@
             job.told, job.unrun = "written", False
             found.ran[name] = (*found.ran.get(name, ()), job.place)
 
-        yield f"writes the {name} work to hall {job.place}", write
+        yield f"writes the {name} work to zone {job.place}", write
     if job.told == "tried" and may:
 
         def miss(found: World, there: Door, job: Job) -> None:
-            other = next(one for one in HALLS if one != job.place) if job.unrun else job.place
+            other = next(one for one in ZONES if one != job.place) if job.unrun else job.place
             again(there, name, job, other, job.unrun)
 
-        yield f"cannot reach hall {job.place} with the {name} work", miss
+        yield f"cannot reach zone {job.place} with the {name} work", miss
     if job.told == "written" and may:
 
         def come(found: World, there: Door, job: Job) -> None:
@@ -419,7 +419,7 @@
     if len(world.ran.get("unsafe", ())) > 1:
         return "the unsafe work has run twice"
     if len(set(world.ran.get("keyed", ()))) > 1:
-        return "the keyed work has run in two halls"
+        return "the keyed work has run in two zones"
     for name in NAMES:
         free = [
             door
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -58,7 +58,7 @@
         ('name = "x"\ndoors = "two"', "doors"),
         ('name = "x"\n[demand]\nload = [0.9, 0.1]', "load goes from 0.9 down to 0.1"),
         ('name = "x"\n[[troubles]]\nkind = "meteor"', "meteor"),
-        ('name = "x"\n[[troubles]]\nkind = "zone_cut"\nzone = 7', "hall 7 of 2"),
+        ('name = "x"\n[[troubles]]\nkind = "zone_cut"\nzone = 7', "zone 7 of 2"),
         ('name = "x"\nlength_s = 3\n[[troubles]]\nkind = "burst"\nat_s = 4', "after the day's end"),
         ('name = "x"\nclasses = []', "a class"),
         ("name = ", "Invalid value"),
@@ -373,7 +373,7 @@
     assert text(day) != text(usual)
 
 
-def test_a_silent_hall_comes_back_cold_and_is_sent_to_again() -> None:
+def test_a_silent_zone_comes_back_cold_and_is_sent_to_again() -> None:
     lost = Trouble(kind="zone_loss", at_s=1, for_s=2, part=0, size=0.9, zone=1)
     day = play(msgspec.structs.replace(SMALL, length_s=12, troubles=(lost,)), 1)
     back = [one for one in day.servers.values() if one.zone == 1]
--- a/tests/test_model_kept.py
+++ b/tests/test_model_kept.py
@@ -1,4 +1,4 @@
-"""Work in hand that outlives its door, in the model: nobody runs twice in two halls, and rules are kept."""
+"""Work in hand that outlives its door, in the model: nobody runs twice in two zones, and rules are kept."""
 
 import subprocess
 import sys
@@ -33,9 +33,9 @@
     }
 
 
-def test_what_is_kept_runs_in_one_hall_and_breaks_no_rule(plays: dict[bool, list[Day]]) -> None:
-    assert sum(day.books.halls for day in plays[False]) > 0
-    assert sum(day.books.halls for day in plays[True]) == 0
+def test_what_is_kept_runs_in_one_zone_and_breaks_no_rule(plays: dict[bool, list[Day]]) -> None:
+    assert sum(day.books.zones for day in plays[False]) > 0
+    assert sum(day.books.zones for day in plays[True]) == 0
     assert not [day.books.breaks for day in plays[True] if day.books.breaks]
     assert all(day.result()["sums"] == [] for day in plays[True])
 
@@ -68,5 +68,5 @@
         check=False,
     )
     assert done.returncode == 0, done.stderr
-    assert "lost against kept" in done.stdout and "keyed in two halls" in done.stdout
+    assert "lost against kept" in done.stdout and "keyed in two zones" in done.stdout
     assert "most a second" in done.stdout.splitlines()[-1]
--- a/tests/test_model_recovery.py
+++ b/tests/test_model_recovery.py
@@ -42,7 +42,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_a_hall_that_is_back_cold_while_the_other_is_full_is_not_pushed_over(seed: int) -> None:
+def test_a_zone_that_is_back_cold_while_the_other_is_full_is_not_pushed_over(seed: int) -> None:
     lost = Trouble(kind="zone_loss", at_s=1, for_s=3, part=0, size=0.9, zone=1)
     day = after([lost], seed, demand=Demand(load=(0.8, 0.8)), length_s=12)
     assert not any(server.fallen for server in day.servers.values())
--- a/tests/test_rig_checks.py
+++ b/tests/test_rig_checks.py
@@ -190,7 +190,7 @@
         [told(8 * S, "DRAINING"), *ask("x", 9 * S), *fault("pause", 7 * S, 9 * S, "doors-0")],
         [told(8 * S, "DRAINING"), told(9 * S, "SERVING"), *ask("x", 9 * S + 500 * MS)],
         [told(1, "DRAINING"), told(2, "SERVING"), *KILLED],  # a new process knows nothing of it
-        [*LOST, *again("x", 8 * S + 60 * MS)],  # its hall drops the repeat
+        [*LOST, *again("x", 8 * S + 60 * MS)],  # its zone drops the repeat
         [*ask("x", 8 * S, how="full"), *again("x", 8 * S + 60 * MS, server="servers-1", zone=1)],  # never ran
         [
             *ask("x", 8 * S, took=400 * MS),
@@ -217,7 +217,7 @@
 @pytest.mark.parametrize(
     "later, said",
     [
-        (lambda: ask("other", 3 * S, zone=1, server="servers-1"), "in two halls"),
+        (lambda: ask("other", 3 * S, zone=1, server="servers-1"), "in two zones"),
         (lambda: ask("other", 3 * S), "after its client was told"),
     ],
 )
--- a/tests/test_rig_lists.py
+++ b/tests/test_rig_lists.py
@@ -1,4 +1,4 @@
-"""Front doors by `run` at a list service that is emptied, moved away from, or cut off from a hall."""
+"""Front doors by `run` at a list service that is emptied, moved away from, or cut off from a zone."""
 
 import sys
 from itertools import pairwise
@@ -65,7 +65,7 @@
         assert named == {f"servers-{number}" for number in range(7)}
 
 
-def test_a_hall_that_is_cut_off_from_the_service_alone_is_served_on(lists: Seen) -> None:
+def test_a_zone_that_is_cut_off_from_the_service_alone_is_served_on(lists: Seen) -> None:
     (cut,), (mended,) = at(lists, "fault", fault="cut"), at(lists, "undone", fault="cut")
     gone = {
         name for record in lists.by["told"] for name, state in record["servers"].items() if state != "SERVING"
--- a/tests/test_rig_plan.py
+++ b/tests/test_rig_plan.py
@@ -36,7 +36,7 @@
         ("name = 'x'\n[fleet]\nname = 'x'\ndoors = 201", "at most 200 doors"),
         ("name = 'x'\n[fleet]\nname = 'x'\n[[fleet.troubles]]\nkind = 'burst'", "stands in faults"),
         ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\nat_s = 99", "after the end"),
-        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'cut'\nzone = 7", "strikes hall 7 of 2"),
+        ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'cut'\nzone = 7", "strikes zone 7 of 2"),
         ("name = 'x'\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\nnumbers = [3]", "strikes doors 3 of 3"),
         (
             "name = 'x'\nfollower = false\n[fleet]\nname = 'x'\n[[faults]]\nkind = 'kill'\non = 'follower'",
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -35,11 +35,11 @@
 
 def test_a_violation_is_told() -> None:
     twice = Death(POINTS[3], "unsafe", "k", 0, reached=True, ran=[0, 0])
-    halls = Death(POINTS[3], "keyed", "k", 0, reached=True, ran=[0, 1], last="served")
+    zones = Death(POINTS[3], "keyed", "k", 0, reached=True, ran=[0, 1], last="served")
     lost = Death(POINTS[5], "keyed", "k", 0, reached=True, ran=[0], last="failed")
-    assert "2 times" in twice.wrong and "2 halls" in halls.wrong and "was kept" in lost.wrong
+    assert "2 times" in twice.wrong and "2 zones" in zones.wrong and "was kept" in lost.wrong
     assert not Death(POINTS[3], "keyed", "k", 0, reached=True, ran=[0], last="served").wrong
-    assert "| after the write | keyed | 1 | 0 | 0 | 1 | 1 | 1 |" in table([halls])
+    assert "| after the write | keyed | 1 | 0 | 0 | 1 | 1 | 1 |" in table([zones])
 
 
 # --- hard cases ---
@@ -81,7 +81,7 @@
 
     found = fleet(tmp_path, act)
     assert found.ran["k"] == found.ran["k"][:1] and found.said(0, "no longer this door's")
-    assert {hall for _, hall in found.came["k"]} == set(found.ran["k"])
+    assert {zone for _, zone in found.came["k"]} == set(found.ran["k"])
     assert 0 not in [door for door, _ in found.came["k"][1:]]
 
 
@@ -111,7 +111,7 @@
         assert await found.ask(0, found.submit("keyed", "other", "a3", BODY), LONG_S) == "served"
 
     found = fleet(tmp_path, act)
-    assert len(found.ran["k"]) == 1 and len({hall for _, hall in found.came["k"]}) == 1
+    assert len(found.ran["k"]) == 1 and len({zone for _, zone in found.came["k"]}) == 1
 
 
 def test_one_key_at_two_doors_at_once_runs_once_and_both_clients_get_it(tmp_path: Path) -> None:
@@ -167,7 +167,7 @@
 
     found = fleet(tmp_path, act)
     assert all(len(found.ran[f"k{n}"]) == 1 for n in range(COUNT))
-    assert all(len({hall for _, hall in found.came[f"k{n}"]}) == 1 for n in range(COUNT))
+    assert all(len({zone for _, zone in found.came[f"k{n}"]}) == 1 for n in range(COUNT))
 
 
 def test_a_drain_hands_over_what_it_will_not_see_the_end_of(tmp_path: Path) -> None:
@@ -213,7 +213,7 @@
             assert await found.ask(1 + number % 3, again, LONG_S) == "served"
 
     found = fleet(tmp_path, act)
-    assert all(len({hall for _, hall in found.came[f"k{n}"]}) == 1 for n in range(4))
+    assert all(len({zone for _, zone in found.came[f"k{n}"]}) == 1 for n in range(4))
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -149,7 +149,7 @@
     told = fleet.begin(0, intent())
     assert fleet.begin(1, intent(id="again")).how == "elsewhere"
     assert fleet.begin(1, intent(id="again", digest="another body")).how == "other"
-    # Its first client leaves, and so does the door: whoever asks again has it, in its hall.
+    # Its first client leaves, and so does the door: whoever asks again has it, in its zone.
     fleet.ask(0, Leave(name="c/k", fence=told.fence))
     mine = fleet.begin(1, intent(id="again", server="s2", place="west"))
     assert (mine.how, mine.server, mine.place) == ("kept", "s1", "east") and mine.fence > told.fence
@@ -506,12 +506,12 @@
 THREE = replace(SETTINGS, classes=(KEYED, ONCE), plans=(FEW,))
 
 
-def test_inherited_work_takes_no_units_and_stays_in_its_hall() -> None:
+def test_inherited_work_takes_no_units_and_stays_in_its_zone() -> None:
     world = World(THREE, servers(8))
     assert of(i.Send, world.ask("own"))  # the whole quota
     for number in range(20):
         (sent,) = of(i.Send, world.ask(f"in-{number}", inherited=True, bound="s3"))
-        assert int(sent.server[1:]) % 2 == 1  # in hall 1, as s3
+        assert int(sent.server[1:]) % 2 == 1  # in zone 1, as s3
     # Where its first attempt never ran, the next one still stays there.
     sends = of(i.Send, world.answer("in-0", i.Result.CONNECT_FAILED))
     assert all(int(sent.server[1:]) % 2 == 1 for sent in sends)
