--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -478,6 +478,15 @@
         self.closing = True
         self.flush()
 
+    def is_owed(self) -> bool:
+        """Whether the client is within a command, which may be a request's, has sent what is not read, or is
+        to have its time to read the last answer."""
+        if self.transport.is_closing():
+            return False
+        if self.state is State.CLOSING:
+            return True
+        return bool(self.reader.buffer) or (self.reading and has_unread(self.transport))
+
     def has_left(self) -> bool:
         """Whether the client has closed while nothing is read from it, which the loop does not tell then."""
         if self.transport.is_closing():
@@ -664,13 +673,8 @@
         return not self.sockets
 
     def is_owed(self) -> bool:
-        """Whether a client is being taken in, is within a command, which may be a request's, or has sent what
-        is not read."""
-        return self.sockets > len(self.connections) or any(
-            connection.reader.buffer or (connection.reading and has_unread(connection.transport))
-            for connection in self.connections
-            if not (connection.closing or connection.transport.is_closing())
-        )
+        """Whether a client is being taken in, or one is owed something (see ClientConnection.is_owed)."""
+        return self.sockets > len(self.connections) or any(one.is_owed() for one in self.connections)
 
     def close(self) -> None:
         """End all connections, whatever is open on them."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,6 +10,8 @@
 
 from fennelwinch import interface as i
 from molereach import backends, clients, frontdoor
+from molereach.backends import now_us
+from molereach.clients import State
 from molereach.config import Address
 from molereach.frontdoor import FrontDoor
 from tests.sockets import (
@@ -97,6 +99,27 @@
     run(job())
 
 
+def test_end_of_a_drain_leaves_clients_their_time_to_read_the_last_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A connection that was closed just before the drain looks whether all is over is not reset."""
+    monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
+    monkeypatch.setattr(frontdoor, "LAST_WRITES_S", 0.02)
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            with raw_client(address) as client:
+                client.sendall(query("a1"))
+                while not door.costs.served:
+                    await asyncio.sleep(0.001)
+                connection = connection_of(door, client)
+                await door.drain()
+                assert connection.state is State.CLOSING
+                assert now_us() - connection.since_us >= clients.LINGER_US
+
+    run(job())
+
+
 @pytest.mark.parametrize("is_new", [False, True])
 def test_command_that_comes_slowly_through_a_drain_is_answered(
     is_new: bool, monkeypatch: pytest.MonkeyPatch
