Name the time that does not come once in the network code

Found on rereading: gave backends.py a NEVER of its own beside the one of clients.py, which already imports from backends.py; the gateway took the clients' one. Change: it stands in backends.py, and the other two import it; two constants stand with those beside them. No behaviour changes.

--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -41,7 +41,6 @@
 BYTE, HALF, HALF_BITS = 255, 15, 4
 MESSAGE_BYTES = 256
 
-
 MOST_NUMBER = 1e15  # of any setting: a day is 1e11 microseconds
 
 
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -20,7 +20,7 @@
 IDLE_SHARE = 0.5  # of the backend's idle time: a request that crosses its close would end as a reset
 REST_US = 5_000  # before a connection is used again: what a backend sends behind an answer comes by then
 
-NEVER = 1 << 62
+NEVER = 1 << 62  # a time that does not come
 LEAST_LEFT_US = 1_000  # the least that `d` can tell: with less, nothing is written
 
 MOST_BYTES = 8 << 20  # of answers that are not whole, unless said otherwise
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -16,7 +16,7 @@
 from itertools import islice
 
 from fennelwinch import interface as i
-from molereach.backends import now_us
+from molereach.backends import NEVER, now_us
 from molereach.budget import LATE_LEAST_US, Budget, from_text, to_text, unread_us
 from molereach.config import Address, Config
 from molereach.costs import CLIENTS, Costs
@@ -36,7 +36,6 @@
 IDLE_US = 15_000_000  # between requests
 LEAST_IDLE_US = 2_100_000  # between requests, also when others need the place
 SWEEP_S = 0.2
-NEVER = 1 << 62
 ACCEPTS_AT_ONCE = 16  # in between, those that are here are heard
 MOST_LOOKED_AT = 16  # connections of a state that is to give way, for one that has nothing unread
 ACCEPT_AGAIN_S = 0.05  # after a failure to accept
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -16,9 +16,9 @@
 from fennelwinch import interface as i
 from fennelwinch.rules import Gateway
 from molereach import costs
-from molereach.backends import Attempt, Backends, now_us
+from molereach.backends import NEVER, Attempt, Backends, now_us
 from molereach.budget import Budget, Source, Stage
-from molereach.clients import FAILED, NEVER, Clients, Command, CommandError, CommandParser, Reply
+from molereach.clients import FAILED, Clients, Command, CommandError, CommandParser, Reply
 from molereach.config import Config
 from molereach.discovery import Catalog, Discovery, News
 from molereach.peers import Peers
--- a/molereach/resp.py
+++ b/molereach/resp.py
@@ -19,7 +19,6 @@
 STAR, CR, ZERO = b"*\r0"
 VALUE_HEAD, VALUE_TAIL = b"*3\r\n$", b"\r\n$-1\r\n$-1\r\n"  # round an answer's value and its length
 
-
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # on a socket whose peer is gone
 
 
