--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -27,6 +27,7 @@
 EXIT_HELD, EXIT_BROKEN, EXIT_CANNOT_RUN = 0, 1, 2
 EMPTY_LINE_S = 2.0
 CRLF = b"\r\n"
+SAFE_CLASSES = ("view-sheet", "site-lookup")
 FIELDS = 3  # position of the list of names and values in a command
 
 
@@ -131,6 +132,9 @@
                 if answer is None:
                     await reader.read()  # says nothing more until the gateway closes
                     break
+                if not answer:
+                    writer.transport.abort()  # a reset
+                    break
                 writer.write(answer)
                 await writer.drain()
 
@@ -451,18 +455,19 @@
 
 
 class Ids:
-    """Ids and customers that are new with each call."""
+    """Ids and customers that are new with each call; each customer's set is the first `spread` gateways."""
 
-    def __init__(self) -> None:
+    def __init__(self, spread: int = 2) -> None:
         self.numbers = itertools.count(1)
+        self.spread = spread
 
     def request(self, name: str, body_bytes: int = 100, wait_ms: int = 2000) -> list[bytes]:
         """Return the arguments of a request of class `name` by a new customer."""
         number = next(self.numbers)
-        command = b"SVC.QUERY" if name == "view-sheet" else b"SVC.SUBMIT"
-        key = "" if name == "view-sheet" else f",k={number:016x}"
-        fields = f"c={name},t=basic,d={wait_ms},units=1,spread=2,first=0{key}".encode()
-        body = [] if name == "view-sheet" else [b"x" * body_bytes]
+        command = b"SVC.QUERY" if name in SAFE_CLASSES else b"SVC.SUBMIT"
+        key = "" if name in SAFE_CLASSES else f",k={number:016x}"
+        fields = f"c={name},t=basic,d={wait_ms},units=1,spread={self.spread},first=0{key}".encode()
+        body = [] if name in SAFE_CLASSES else [b"x" * body_bytes]
         return [command, b"%016x" % number, b"%016x" % (number + (1 << 60)), fields, *body]
 
 
