--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,19 +11,21 @@
 from stand_ins_2 import Client, Gateway, Ids, Record, encode, run_case, settings, start_fleet, with_trouble
 
 LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 512}
-ROUNDS = 3
+ROUNDS = 4
 ROUND_S = 4.0
-CONNECTIONS = 150  # under a third of the descriptors
+CONNECTIONS = 155  # with the others under a third of the descriptors
+CONNECT_INTERVAL_S = 0.004
 BODY_BYTES = 64 * 1024
 LAST_BYTES = 512  # of a long request, which come late where clients write slowly
-SLOW_S = 0.6
+SLOW_S = 1.2
 ANSWER_TIMEOUT_S = 3.0
 COMMANDS = 2
 QUICK_CONNECTIONS, QUICK_COMMANDS = 10, 20  # of clients that write at once, one request after the other
 
 
-async def converse(gateway: Gateway, ids: Ids, record: Record) -> list[str]:
-    """Send a short request and a long one behind it; return the violations."""
+async def converse(gateway: Gateway, ids: Ids, record: Record, after_s: float) -> list[str]:
+    """Send a short request and a long one behind it, after a while; return the violations."""
+    await asyncio.sleep(after_s)
     client = await Client.open(gateway.port)
     name = f"client {client.sock.getsockname()[1]}"
     short = ids.request("view-sheet")
@@ -65,7 +67,10 @@
     violations: list[str] = []
     try:
         for _ in range(ROUNDS):
-            tasks = [asyncio.create_task(converse(gateway, ids, record)) for _ in range(CONNECTIONS)]
+            tasks = [
+                asyncio.create_task(converse(gateway, ids, record, number * CONNECT_INTERVAL_S))
+                for number in range(CONNECTIONS)
+            ]
             tasks += [
                 asyncio.create_task(ask_quickly(gateway, ids, record)) for _ in range(QUICK_CONNECTIONS)
             ]
