--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -435,14 +435,19 @@
 
 
 async def start_fleet(
-    record: Record, server_count: int, work_s: float, values: dict[str, Any], limits: dict[str, float]
+    record: Record,
+    server_count: int,
+    work_s: float,
+    values: dict[str, Any],
+    limits: dict[str, float],
+    server_class: type[ScanServer] = ScanServer,
 ) -> Gateway:
     """Start scan servers in two halls, discovery, and the first of two gateways.
 
     The second gateway is down throughout: nobody listens at its address among the peers.
     """
     halls = ("east-hall", "west-hall")
-    servers = [ScanServer(f"s-{n}", halls[n % 2], record, work_s) for n in range(server_count)]
+    servers = [server_class(f"s-{n}", halls[n % 2], record, work_s) for n in range(server_count)]
     for server in servers:
         await server.start()
     discovery = Discovery(servers)
