--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,7 +11,7 @@
 from stand_ins_2 import Client, Gateway, Ids, Record, encode, run_case, settings, start_fleet, with_trouble
 
 LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 512}
-ROUNDS = 4
+ROUNDS = 7
 ROUND_S = 4.0
 CONNECTIONS = 155  # with the others under a third of the descriptors
 CONNECT_INTERVAL_S = 0.004
