--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,15 +1,14 @@
 #!/bin/bash
-# Builds what the scripts of cases 6 to 10 start: the bytecode of the stand-ins, which are Python programs, and an
-# environment for the project's lease service in review/.venv (anew, unless it is there for the same packages).
-# Run after `build` of the deploy file, which makes `.venv`, with the package mirrors reachable.
+# Builds what the scripts of cases 6 to 10 start: the bytecode of the stand-ins, which are Python programs, and, for
+# the project's lease service, an environment in review/.venv, unless there is one with its packages already.
+# Run after `build` of the deploy file, which makes `.venv`. Packages come from the mirrors of that build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-if ! cat requirements.txt requirements-leasing.txt | cmp -s - review/.venv/requirements.txt; then
+has_packages() {
+    [ -x "$1" ] && "$1" -c "import aiohttp, click, h11, msgspec, xxhash" 2> /dev/null
+}
+if ! has_packages .venv/bin/python && ! has_packages review/.venv/bin/python; then
     python3 -m venv --clear review/.venv
-    review/.venv/bin/pip -q install -r requirements.txt -r requirements-leasing.txt
-    cat requirements.txt requirements-leasing.txt > review/.venv/requirements.txt
+    review/.venv/bin/pip -q install -r requirements-leasing.txt
 fi
-.venv/bin/python -m py_compile review/stand_ins_2.py
-for case in review/{6,7,8,9,10}/case.py; do
-    if [ -e "$case" ]; then .venv/bin/python -m py_compile "$case"; fi
-done
+.venv/bin/python -m compileall -q review/stand_ins_2.py review/6 review/7 review/8 review/9 review/10
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -315,6 +315,7 @@
         end_s = time.monotonic() + READY_TIMEOUT_S
         while not await self.answers_ping():
             if time.monotonic() > end_s or self.process.returncode is not None:
+                await self.stop()
                 raise RuntimeError(f"{self.name} is not ready: {self.log()[-500:]}")
             await asyncio.sleep(0.05)
         self.record.write(self.name, "is ready")
@@ -477,11 +478,16 @@
 
 
 def run_case(folder: Path, play: Callable[[Record], Awaitable[list[str]]]) -> None:
-    """Play a case, print the violations that it returns, and exit by them."""
+    """Play a case, print the violations that it returns, and exit by them.
+
+    SIGTERM and SIGINT end the case, which then ends its processes.
+    """
     record = Record(folder)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         violations = asyncio.run(asyncio.wait_for(play(record), RUN_TIMEOUT_S))
-    except (OSError, RuntimeError, TimeoutError) as error:
+    except (OSError, RuntimeError, TimeoutError, KeyboardInterrupt) as error:
         record.write("case", f"cannot run: {error!r}")
         print(f"the case cannot run: {error!r}")
         sys.exit(EXIT_CANNOT_RUN)
