Answer the requests in flight on a connection whose incomplete command is given up

Cause: enforce_byte_limit aborted the connections with the most buffered bytes, whatever was in flight on them, and it ran only every 0.2 s. Change: an incomplete command beyond the limit is given up with an error behind the answers to earlier commands; the bytes of incomplete commands are counted with each read, and the limit holds then. It works as what is over the limit is the incomplete command, which is not owed a result.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -327,6 +327,46 @@
     run_scenario(scenario())
 
 
+def test_connection_over_the_byte_limit_still_gets_the_answers_to_its_earlier_requests() -> None:
+    # Guards against losing a request in flight when the incomplete command behind it takes too much memory.
+    async def scenario() -> None:
+        scan_server = StubScanServer(lambda arguments: None)
+        async with running_gateway(scan_server, settings=LONG_TIMEOUT_SETTINGS) as (gateway, address):
+            gateway.clients.max_buffered_bytes = 50_000
+            client = await RespClient.connect(address)
+            client.send(query_command("a1", wait_ms=LONG_TIMEOUT_MS))
+            await scan_server.wait_for_commands(1)
+            client.send(b"*1\r\n$60000\r\n" + b"x" * 59_000)
+            while not next(iter(gateway.clients.connections)).is_closing:
+                await asyncio.sleep(0)
+            assert gateway.clients.partial_command_bytes == 0
+            scan_server.writers[0].write(value_response(b"late"))
+            assert await client.read_reply() == b"late"
+            assert await client.read_reply() == "-ERR too many bytes of incomplete commands"
+            assert await client.closed_without_reply()
+
+    run_scenario(scenario())
+
+
+def test_incomplete_commands_are_bounded_between_two_sweeps(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against hundreds of slow writers exceeding the memory limit before the next periodic check.
+    monkeypatch.setattr(clients, "SWEEP_INTERVAL_S", 3600)
+
+    async def scenario() -> None:
+        async with running_gateway() as (gateway, address):
+            gateway.clients.max_buffered_bytes = 200_000
+            slow = [await RespClient.connect(address) for _ in range(10)]
+            for client in slow:
+                client.send(b"*1\r\n$60000\r\n" + b"x" * 59_000)
+            # At most three of them fit into the limit.
+            while sum(connection.is_closing for connection in gateway.clients.connections) < 7:
+                await asyncio.sleep(0)
+                assert gateway.clients.buffered_bytes() <= 200_000
+            assert gateway.clients.buffered_bytes() <= 200_000
+
+    run_scenario(scenario())
+
+
 def test_unanswered_requests_are_bounded_by_the_memory_limit() -> None:
     async def scenario() -> None:
         backends = [StubScanServer(lambda arguments: None) for _ in range(64 // IN_FLIGHT_PER_SERVER + 1)]
--- a/thistletrail/gateway/clients.py
+++ b/thistletrail/gateway/clients.py
@@ -52,6 +52,7 @@
 BACKLOG = 1024
 
 FAILED_RESPONSE = b"-ERR failed\r\n"
+OUT_OF_MEMORY_RESPONSE = b"-ERR too many bytes of incomplete commands\r\n"
 TOO_MANY_CLIENTS_RESPONSE = b"-ERR max number of clients reached\r\n"
 
 CUSTOMER_ID_LIMIT = 1 << 33  # exclusive
@@ -311,6 +312,7 @@
         "is_write_paused",
         "last_read_us",
         "loop_late_us",
+        "partial_command_bytes",
         "reader",
         "reading_paused_us",
         "reading_resumed_us",
@@ -324,6 +326,7 @@
     def __init__(self, clients: "Clients") -> None:
         self.clients = clients
         self.reader = CommandReader()
+        self.partial_command_bytes = 0  # its part of the sum over all connections
         # A list, as there are few: an empty deque takes ten times the memory of an empty list.
         self.replies: list[Reply] = []
         self.transport: asyncio.Transport | None = None
@@ -366,6 +369,7 @@
                     self.loop_late_us = max(self.loop_late_us, now - self.reading_paused_us)
                 self.reading_resumed_us = 0
             self.process()
+            self.clients.limit_partial_commands(self)
 
     def process(self) -> None:
         """Handle complete commands, up to the limits on requests in flight and on one turn of the loop."""
@@ -407,6 +411,7 @@
         self.is_processing_scheduled = False
         if self.has_more_commands and not self.is_closing:
             self.process()
+            self.clients.count_partial_command(self)
 
     def handle_command(self, arguments: list[bytes]) -> None:
         """Answer a PING or an invalid command, and pass on a request."""
@@ -469,7 +474,13 @@
         """Send a last response after all answers, then close; nothing more is read."""
         self.is_closing = True
         self.replies.append(Reply(self, response))
+        self.reader.buffer.clear()
         self.flush()
+        self.clients.count_partial_command(self)
+
+    def give_up_partial_command(self) -> None:
+        """Close after the answers to all earlier commands, without reading the rest of the present one."""
+        self.close_after(OUT_OF_MEMORY_RESPONSE)
 
     def end_writing(self) -> None:
         """Close the sending direction; the socket is closed when the client has had time to read."""
@@ -533,6 +544,7 @@
         if self.is_closing or self.is_processing:
             return
         self.process()
+        self.clients.count_partial_command(self)
 
     def on_state_timeout(self) -> None:
         """The timeout of the present state has passed: end the connection."""
@@ -552,6 +564,7 @@
             if reply.data is None:
                 self.clients.on_disconnected(reply)
         self.replies.clear()
+        self.reader.buffer.clear()
         self.clients.on_closed(self)
 
     def close_if_idle(self) -> None:
@@ -594,9 +607,13 @@
         if self.transport:
             self.transport.abort()
 
+    def unsent_bytes(self) -> int:
+        """The bytes of answers that the client has not read."""
+        return self.transport.get_write_buffer_size()
+
     def buffered_bytes(self) -> int:
         """The bytes of an incomplete command and of answers that the client has not read."""
-        return len(self.reader.buffer) + self.transport.get_write_buffer_size()
+        return len(self.reader.buffer) + self.unsent_bytes()
 
 
 class Clients:
@@ -640,6 +657,7 @@
         self.loop = asyncio.get_running_loop()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # shared: each read is copied at once
         self.sockets = 0  # accepted and not closed yet
+        self.partial_command_bytes = 0  # in the readers of all connections
         self.connections: set[ClientConnection] = set()
         # The connections that may be closed for a new one, by state, the longest in that state first.
         self.eviction_candidates: dict[State, dict[ClientConnection, None]] = {
@@ -748,6 +766,7 @@
         """A connection's socket is closed."""
         self.sockets -= 1
         self.connections.discard(connection)
+        self.count_partial_command(connection)
         for connections in self.eviction_candidates.values():
             connections.pop(connection, None)
         if not self.sockets:
@@ -777,16 +796,42 @@
         """The bytes that are buffered for all connections."""
         return sum(connection.buffered_bytes() for connection in self.connections)
 
+    def count_partial_command(self, connection: ClientConnection) -> None:
+        """Count the bytes in a connection's reader."""
+        size_bytes = len(connection.reader.buffer)
+        self.partial_command_bytes += size_bytes - connection.partial_command_bytes
+        connection.partial_command_bytes = size_bytes
+
+    def limit_partial_commands(self, connection: ClientConnection) -> None:
+        """Give up the largest incomplete commands beyond the byte limit, after a read on `connection`.
+
+        This cannot wait for the next sweep, before which all clients together may send any number of bytes.
+        """
+        self.count_partial_command(connection)
+        while self.partial_command_bytes > self.max_buffered_bytes:
+            largest = max(self.connections, key=lambda candidate: candidate.partial_command_bytes)
+            largest.give_up_partial_command()
+
     def enforce_byte_limit(self) -> None:
-        """Abort the connections with the most buffered bytes until the rest is within the limit."""
-        sizes = {connection: connection.buffered_bytes() for connection in self.connections}
-        total = sum(sizes.values())
-        by_size = sorted(sizes, key=sizes.get, reverse=True) if total > self.max_buffered_bytes else ()
-        for connection in by_size:
-            if total <= self.max_buffered_bytes:
-                return
-            total -= sizes[connection]
+        """Free buffered bytes until the rest is within the limit, those of the largest connections first.
+
+        The clients that do not read their answers are disconnected first. Only then are incomplete commands
+        given up, whose connections get the answers to all earlier commands.
+        """
+        excess_bytes = self.buffered_bytes() - self.max_buffered_bytes
+        if excess_bytes <= 0:
+            return
+        for connection in sorted(self.connections, key=ClientConnection.unsent_bytes, reverse=True):
+            if excess_bytes <= 0 or not connection.unsent_bytes():
+                break
+            excess_bytes -= connection.buffered_bytes()
             connection.abort()
+        for connection in sorted(self.connections, key=ClientConnection.buffered_bytes, reverse=True):
+            if excess_bytes <= 0:
+                return
+            if connection.partial_command_bytes and not connection.transport.is_closing():
+                excess_bytes -= connection.partial_command_bytes
+                connection.give_up_partial_command()
 
     # --- end ---
 
