Answer every command that was read before its connection is closed

Cause: a request beyond the memory limit counted as an invalid command, and close_after dropped what was left in the reader. An eviction could do the same to commands that wait for the loop's next turn. Change: TooManyRequestsError does not count; close_after answers each complete command in the reader; a connection with unhandled commands is not evicted.

--- a/thistletrail/gateway/clients.py
+++ b/thistletrail/gateway/clients.py
@@ -69,6 +69,13 @@
     """A well-formed command is invalid; its text is answered to the client, and the connection stays open."""
 
 
+class TooManyRequestsError(CommandError):
+    """A valid command cannot be accepted now, as too many requests are open."""
+
+    def __init__(self) -> None:
+        super().__init__("too many requests are open")
+
+
 @dataclass(frozen=True, slots=True)
 class Command:
     """A valid request: what the policy needs to know of it, and the arguments to forward."""
@@ -230,6 +237,11 @@
         return size, first
 
 
+def error_response(error: CommandError) -> bytes:
+    """The error line that answers a command which is not accepted."""
+    return b"-ERR %b\r\n" % str(error).encode()
+
+
 class Reply:
     """The answer to one command; a connection sends its answers in the order of its commands."""
 
@@ -428,12 +440,11 @@
                 )
                 reply.send(pong)
             else:
-                self.clients.on_command(arguments, reply)
-                self.has_requested = True
+                self.handle_request(arguments, reply)
         except CommandError as error:
             self.consecutive_errors += 1
             self.clients.costs.wrong_commands += 1
-            reply.send(b"-ERR %b\r\n" % str(error).encode())
+            reply.send(error_response(error))
             if self.consecutive_errors >= MAX_CONSECUTIVE_ERRORS:
                 self.close_after(b"-ERR too many wrong commands\r\n")
         else:
@@ -441,6 +452,14 @@
             self.consecutive_errors = 0
             self.state = None  # the next `update_state` starts the state's timeout anew
 
+    def handle_request(self, arguments: list[bytes], reply: Reply) -> None:
+        """Pass on a request; a valid one that cannot be accepted now does not count as an invalid command."""
+        try:
+            self.clients.on_command(arguments, reply)
+        except TooManyRequestsError as error:
+            reply.send(error_response(error))
+        self.has_requested = True
+
     def flush(self) -> None:
         """Send the answers that wait for no earlier one, and update the connection's state."""
         if self.is_processing or self.transport is None:
@@ -471,13 +490,24 @@
         return estimate_unread_us(self.loop_late_us, now - self.last_read_us)
 
     def close_after(self, response: bytes) -> None:
-        """Send a last response after all answers, then close; nothing more is read."""
+        """Send a last response after all answers, then close; nothing more is read.
+
+        The response is also the answer to each complete command that has been read and not been handled.
+        """
         self.is_closing = True
-        self.replies.append(Reply(self, response))
-        self.reader.buffer.clear()
+        self.replies += [Reply(self, response) for _ in range(self.discard_commands() + 1)]
         self.flush()
         self.clients.count_partial_command(self)
 
+    def discard_commands(self) -> int:
+        """Remove everything from the reader; returns how many complete commands it had."""
+        count = 0
+        with contextlib.suppress(ProtocolError):
+            while self.reader.next() is not None:
+                count += 1
+        self.reader.buffer.clear()
+        return count
+
     def give_up_partial_command(self) -> None:
         """Close after the answers to all earlier commands, without reading the rest of the present one."""
         self.close_after(OUT_OF_MEMORY_RESPONSE)
@@ -581,6 +611,10 @@
         self.is_closing = True
         self.flush()
 
+    def has_read_everything(self) -> bool:
+        """Whether no bytes of the client are unread, and no complete command is left to handle."""
+        return not self.has_more_commands and not has_unread(self.transport)
+
     def needs_time(self) -> bool:
         """Whether a graceful shutdown has to wait for this client.
 
@@ -733,14 +767,14 @@
     def make_room(self) -> bool:
         """Close the first connection by EVICTION_ORDER that may be closed, and return whether there was one.
 
-        A connection that has unread bytes is closed only if it is closing anyway.
+        A connection with unread bytes or unhandled commands is closed only if it is closing anyway.
         """
         now = now_us()
         for state, min_time_us in EVICTION_ORDER:
             for connection in islice(self.eviction_candidates[state], MAX_EVICTION_CANDIDATES):
                 if now - connection.state_since_us < min_time_us:
                     break
-                if state is State.CLOSING or not has_unread(connection.transport):
+                if state is State.CLOSING or connection.has_read_everything():
                     del self.eviction_candidates[state][connection]
                     connection.abort()
                     return True
--- a/thistletrail/gateway/exchanges.py
+++ b/thistletrail/gateway/exchanges.py
@@ -4,7 +4,14 @@
 import logging
 
 from thistletrail.gateway.backends import NEVER, Attempt, now_us
-from thistletrail.gateway.clients import FAILED_RESPONSE, Command, CommandError, CommandParser, Reply
+from thistletrail.gateway.clients import (
+    FAILED_RESPONSE,
+    Command,
+    CommandError,
+    CommandParser,
+    Reply,
+    TooManyRequestsError,
+)
 from thistletrail.gateway.config import Config
 from thistletrail.gateway.cost_counters import CostCounters
 from thistletrail.gateway.deadline import Deadline, DeadlineSource, Stage
@@ -74,7 +81,7 @@
         if command.id in self.unanswered or command.id in self.answered_in_flight:
             raise CommandError("this id is in use")
         if self.is_full():
-            raise CommandError("too many requests are open")
+            raise TooManyRequestsError
         now = now_us()
         deadline = Deadline.start(command.wait_us, reply.connection.unread_us(now), now)
         if self.drain_end_us < deadline.end_us:
