Answer each command that was read on a rejected connection

Cause: reject_connection read up to 16 KiB, to save its error line from a reset, and answered one line however many commands it had read.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -182,6 +182,41 @@
     run_scenario(scenario())
 
 
+def test_rejected_connection_gets_an_error_for_each_command_that_was_read() -> None:
+    # Guards against reading several commands on a connection beyond the limit and answering only one.
+    async def scenario() -> None:
+        async with running_gateway() as (gateway, address):
+            gateway.clients.max_sockets = 0
+            gateway.loop.remove_reader(gateway.clients.listener)
+            client = await RespClient.connect(address)
+            client.send(b"".join(query_command(f"a{number}") for number in range(4)))
+            gateway.clients.accept()
+            for _ in range(4):
+                assert await client.read_reply() == "-ERR max number of clients reached"
+            assert await client.closed_without_reply()
+
+    run_scenario(scenario())
+
+
+def test_rejected_connection_is_reset_if_some_of_its_commands_were_not_read() -> None:
+    # Guards against a close that lets a client take its unread commands for read ones.
+    async def scenario() -> None:
+        async with running_gateway() as (gateway, address):
+            gateway.clients.max_sockets = 0
+            gateway.loop.remove_reader(gateway.clients.listener)
+            client = await RespClient.connect(address)
+            count = 3 * clients.REJECTED_READ_BYTES // len(query_command("a1"))
+            client.send(b"".join(query_command("a1") for number in range(count)))
+            gateway.clients.accept()
+            answers = 0
+            with pytest.raises(ConnectionResetError):
+                while await client.read_reply() == "-ERR max number of clients reached":
+                    answers += 1
+            assert answers <= clients.REJECTED_READ_BYTES // len(query_command("a1"))
+
+    run_scenario(scenario())
+
+
 def test_burst_of_connections_stays_within_the_bound() -> None:
     """An accepted socket counts until it is closed. The loop's own server accepts all pending connections."""
 
--- a/thistletrail/gateway/clients.py
+++ b/thistletrail/gateway/clients.py
@@ -36,6 +36,7 @@
 MAX_PIPELINED = 16  # requests in flight on a connection; further commands stay unread
 MAX_CONSECUTIVE_ERRORS = 16  # invalid commands in a row, after which a connection is closed
 READ_BUFFER_BYTES = 16 * 1024
+REJECTED_READ_BYTES = 4096  # so few that the errors for all their commands fit into the socket's send buffer
 # The protocol requires that a client without a valid command gets an error or is disconnected within 3 s of
 # connecting, and that a well-behaved idle client may stay for at least 2 s.
 FIRST_COMMAND_TIMEOUT_US = 2_300_000  # from connecting to the first complete command
@@ -495,19 +496,10 @@
         The response is also the answer to each complete command that has been read and not been handled.
         """
         self.is_closing = True
-        self.replies += [Reply(self, response) for _ in range(self.discard_commands() + 1)]
+        self.replies += [Reply(self, response) for _ in range(self.reader.discard_all() + 1)]
         self.flush()
         self.clients.count_partial_command(self)
 
-    def discard_commands(self) -> int:
-        """Remove everything from the reader; returns how many complete commands it had."""
-        count = 0
-        with contextlib.suppress(ProtocolError):
-            while self.reader.next() is not None:
-                count += 1
-        self.reader.buffer.clear()
-        return count
-
     def give_up_partial_command(self) -> None:
         """Close after the answers to all earlier commands, without reading the rest of the present one."""
         self.close_after(OUT_OF_MEMORY_RESPONSE)
@@ -906,13 +898,15 @@
 
 
 def reject_connection(accepted: socket.socket) -> None:
-    """Send an error and close at once, so that the socket takes no connection slot.
+    """Send an error for each command that has arrived, and close, so that the socket takes no connection slot.
 
-    What the client has sent is read first: closing over unread bytes would reset the connection, and could
-    discard the error.
+    Closing over unread bytes resets the connection: that tells the client that its further commands were not
+    read, but could discard the errors as well. What little has arrived is therefore read first.
     """
+    reader = CommandReader()
     with contextlib.suppress(OSError):
-        accepted.recv(READ_BUFFER_BYTES)
+        reader.feed(accepted.recv(REJECTED_READ_BYTES))
+    command_count = reader.discard_all()
     with contextlib.suppress(OSError):
-        accepted.send(TOO_MANY_CLIENTS_RESPONSE)
+        accepted.send(TOO_MANY_CLIENTS_RESPONSE * max(1, command_count))
     accepted.close()
--- a/thistletrail/gateway/resp.py
+++ b/thistletrail/gateway/resp.py
@@ -4,6 +4,7 @@
 for, so malformed data fails at its first lines, however many bytes it announces.
 """
 
+import contextlib
 import select
 from asyncio import BaseTransport
 from dataclasses import dataclass
@@ -122,6 +123,15 @@
         """The arguments of the next command; None if it is incomplete."""
         return self.read_fast() or self.read_incremental()
 
+    def discard_all(self) -> int:
+        """Remove everything that is buffered; returns how many complete commands there were."""
+        count = 0
+        with contextlib.suppress(ProtocolError):
+            while self.next() is not None:
+                count += 1
+        self.buffer.clear()
+        return count
+
     def read_fast(self) -> list[bytes] | None:
         """The next command, if it is short and complete and no argument contains CRLF.
 
