Bound the fields of a command

Cause: read_fields made strings of every name and value in a list that only the command's 64 KiB bounded. Change: a list of more than 32 fields is an error; the longest known one has seven. Result: tests/test_clients.py passes. The added case of the invalid commands would get an error without the change as well, as its names are equal.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -124,6 +124,7 @@
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",d=900"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",é=1"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",odd"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",x=" * clients.MAX_FIELDS),
         ("PING", "a", "b"),
     ],
 )
--- a/thistletrail/gateway/clients.py
+++ b/thistletrail/gateway/clients.py
@@ -61,6 +61,7 @@
 MAX_PING_ARGUMENTS = 2
 MAX_REQUEST_ID_BYTES = 64
 FIXED_ARGUMENTS = 4  # command, customer, request id and fields; SVC.SUBMIT has a body as well
+MAX_FIELDS = 32  # the longest known list has seven
 MAX_WAIT_MULTIPLE = 2  # the longest accepted wait, as a multiple of the class's deadline
 MAX_UNITS_WITHOUT_BURST = 1e6  # the most units of a request whose plan has no burst
 UNITS_PATTERN = re.compile(r"[0-9]{1,7}(\.[0-9]{1,6})?")
@@ -114,6 +115,8 @@
     """
     if not argument.isascii():
         raise CommandError("invalid fields")
+    if argument.count(b",") >= MAX_FIELDS:
+        raise CommandError("too many fields")
     values = {}
     has_duplicate = False
     for field in argument.decode().split(","):
@@ -898,7 +901,7 @@
 
 
 def reject_connection(accepted: socket.socket) -> None:
-    """Send an error for each command that has arrived, and close, so that the socket takes no connection slot.
+    """Send an error for each command that has arrived, and close at once; no connection slot is taken.
 
     Closing over unread bytes resets the connection: that tells the client that its further commands were not
     read, but could discard the errors as well. What little has arrived is therefore read first.
