--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -14,6 +14,7 @@
 
 from tests.helpers import MILLISECOND_US, PLAN, SECOND_US, SETTINGS, GatewayHarness, servers
 from tests.sockets import (
+    CONFIG,
     LONG_TIMEOUT_MS,
     LONG_TIMEOUT_SETTINGS,
     RespClient,
@@ -26,6 +27,7 @@
 from thistletrail.gateway import backends
 from thistletrail.gateway.backends import Attempt
 from thistletrail.gateway.exchange import Exchange
+from thistletrail.gateway.resource_limits import PROCESS_BYTES, ResourceLimits
 from thistletrail.policy.actions import SetTimer
 from thistletrail.policy.events import Event, TimerFired
 from thistletrail.policy.pending_request import PendingRequest
@@ -219,3 +221,11 @@
             assert fired == [TimerFired(0)] and not gateway.driver.timers
 
     run_scenario(scenario())
+
+
+@pytest.mark.parametrize("memory_mb", [32, 48, 64, 128, 192])
+def test_buffers_fit_into_the_memory_limit_beside_the_process(memory_mb: int) -> None:
+    # Guards against shares that exceed a small memory limit, as the process itself takes most of it.
+    limits = ResourceLimits.from_config(replace(CONFIG, memory_mb=memory_mb))
+    buffer_bytes = limits.request_bytes + limits.client_bytes + limits.answer_bytes
+    assert PROCESS_BYTES + buffer_bytes <= memory_mb << 20
--- a/thistletrail/gateway/resource_limits.py
+++ b/thistletrail/gateway/resource_limits.py
@@ -8,9 +8,11 @@
 MIN_SOCKETS = 16  # with fewer, the gateway could not serve
 RESERVED_SOCKETS = 32  # for the listener, discovery, peers, the event loop and the log
 CLIENT_SOCKET_SHARE = 0.8  # the rest of the unreserved sockets is for servers
-REQUEST_MEMORY_SHARE = 1 / 8  # for unanswered commands
-CLIENT_MEMORY_SHARE = 1 / 8  # for incomplete commands and unsent answers
-ANSWER_MEMORY_SHARE = 1 / 8  # for incomplete answers from servers
+PROCESS_BYTES = 27 << 20  # of a process without requests, with all its connections
+MIN_BUFFER_BYTES = 128 << 10  # a share that holds one command of the maximum size
+MEMORY_SHARE = 1 / 8  # of the memory limit, the most for each kind of buffered bytes
+# Of the memory beyond PROCESS_BYTES, the most for each kind: three kinds of buffers, and others.
+FREE_MEMORY_SHARE = 1 / 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,9 +21,9 @@
 
     client_sockets: int
     server_sockets: int
-    request_bytes: int
-    client_bytes: int
-    answer_bytes: int
+    request_bytes: int  # of unanswered commands
+    client_bytes: int  # of incomplete commands and unsent answers
+    answer_bytes: int  # of incomplete answers from servers
 
     @classmethod
     def from_config(cls, config: Config) -> "ResourceLimits":
@@ -29,11 +31,18 @@
         descriptor_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         sockets = max(MIN_SOCKETS, min(config.sockets, descriptor_limit) - RESERVED_SOCKETS)
         client_sockets = round(sockets * CLIENT_SOCKET_SHARE)
-        memory_bytes = config.memory_mb << 20
+        buffer_bytes = max_buffer_bytes(config.memory_mb << 20)
         return cls(
             client_sockets=client_sockets,
             server_sockets=sockets - client_sockets,
-            request_bytes=round(memory_bytes * REQUEST_MEMORY_SHARE),
-            client_bytes=round(memory_bytes * CLIENT_MEMORY_SHARE),
-            answer_bytes=round(memory_bytes * ANSWER_MEMORY_SHARE),
+            request_bytes=buffer_bytes,
+            client_bytes=buffer_bytes,
+            answer_bytes=buffer_bytes,
         )
+
+
+def max_buffer_bytes(memory_bytes: int) -> int:
+    """The maximum of each kind of buffered bytes, so that all together stay within the memory limit."""
+    free_bytes = memory_bytes - PROCESS_BYTES
+    share_bytes = round(min(memory_bytes * MEMORY_SHARE, free_bytes * FREE_MEMORY_SHARE))
+    return max(MIN_BUFFER_BYTES, share_bytes)
