Bound the customers that a gateway has in memory

Callers saw memory grow without end, from 24 to 70 MB in 6 s at a limit of 32 MB, while one client sent requests under ever new customers at full speed. Cause: a customer's buckets were retained for 10 s or more after its last request, however many there were. Change: CustomerQuotas, now in a module of its own, evicts beyond a bound that follows from the memory limit: first those in whose place a new customer would have no more units, then one that has spent; from then on new customers have only what has been refilled since, so that no quota is exceeded.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -27,10 +27,12 @@
 from thistletrail.gateway import backends
 from thistletrail.gateway.backends import Attempt
 from thistletrail.gateway.exchange import Exchange
-from thistletrail.gateway.resource_limits import PROCESS_BYTES, ResourceLimits
+from thistletrail.gateway.resource_limits import CUSTOMER_BYTES, PROCESS_BYTES, ResourceLimits
 from thistletrail.policy.actions import SetTimer
+from thistletrail.policy.customer_quotas import MAX_OVERSHOOT
 from thistletrail.policy.events import Event, TimerFired
 from thistletrail.policy.pending_request import PendingRequest
+from thistletrail.policy.quota import CustomerKey
 
 ROOT = Path(__file__).parent.parent
 # Allocated by lines of the gateway for an idle connection, including the transport. With uvloop 0.23 it is
@@ -122,6 +124,45 @@
     )
 
 
+def test_customers_that_clients_name_are_bounded_between_two_periods() -> None:
+    # Guards against memory that grows with every new name that a client sends at full speed.
+    harness = GatewayHarness()
+    harness.engine.customers.max_customers = 50
+    serve_customers(harness, 0, 500)
+    assert len(harness.engine.customers.by_key) <= 50 * MAX_OVERSHOOT
+    assert len(harness.engine.customers.first_keys) <= 50 * MAX_OVERSHOOT
+
+
+def test_customer_evicted_for_others_does_not_get_a_second_burst() -> None:
+    # Guards against exceeding a quota by naming so many other customers that the spending is forgotten.
+    harness = GatewayHarness(replace(SETTINGS, plans=(replace(PLAN, rate=1.0, burst=20.0),)), servers(4))
+    customers = harness.engine.customers
+    customers.max_customers = 50
+    key = CustomerKey(1, 0, 0, 1)
+    customers.get(key).spend_locally(20.0)
+    for number in range(100, 2000):
+        if key in customers.by_key:
+            customers.get(CustomerKey(number, 0, 0, 1)).spend_locally(1.0)
+    assert key not in customers.by_key
+    assert customers.get(key).local_bucket.level == 0
+    harness.advance(5 * SECOND_US)
+    assert customers.get(key).local_bucket.level == pytest.approx(5.0)
+
+
+def test_customers_that_spent_nothing_are_evicted_before_those_that_did() -> None:
+    # Guards against new names that are all rejected making the gateway forget what others have spent.
+    harness = GatewayHarness(replace(SETTINGS, plans=(replace(PLAN, rate=1.0, burst=20.0),)), servers(4))
+    customers = harness.engine.customers
+    customers.max_customers = 50
+    spending = [CustomerKey(number, 0, 0, 1) for number in range(40)]
+    for key in spending:
+        customers.get(key).spend_locally(20.0)
+    for number in range(100, 400):
+        customers.get(CustomerKey(number, 0, 0, 1))
+    assert all(key in customers.by_key for key in spending)
+    assert len(customers.by_key) <= 50 * MAX_OVERSHOOT
+
+
 def live_objects(*classes: type) -> list[object]:
     """Return the objects of these classes that are still referenced."""
     gc.collect()
@@ -224,8 +265,9 @@
 
 
 @pytest.mark.parametrize("memory_mb", [32, 48, 64, 128, 192])
-def test_buffers_fit_into_the_memory_limit_beside_the_process(memory_mb: int) -> None:
+def test_buffers_and_customers_fit_into_the_memory_limit_beside_the_process(memory_mb: int) -> None:
     # Guards against shares that exceed a small memory limit, as the process itself takes most of it.
     limits = ResourceLimits.from_config(replace(CONFIG, memory_mb=memory_mb))
     buffer_bytes = limits.request_bytes + limits.client_bytes + limits.answer_bytes
-    assert PROCESS_BYTES + buffer_bytes <= memory_mb << 20
+    customer_bytes = limits.customers * MAX_OVERSHOOT * CUSTOMER_BYTES
+    assert PROCESS_BYTES + buffer_bytes + customer_bytes <= memory_mb << 20
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -674,6 +674,7 @@
         "traffic_estimates.py",
         "token_bucket.py",
         "quota.py",
+        "customer_quotas.py",
         "quota_admission.py",
         "quota_exchange.py",
         "quota_receiver.py",
--- a/thistletrail/gateway/resource_limits.py
+++ b/thistletrail/gateway/resource_limits.py
@@ -11,7 +11,9 @@
 PROCESS_BYTES = 27 << 20  # of a process without requests, with all its connections
 MIN_BUFFER_BYTES = 128 << 10  # a share that holds one command of the maximum size
 MEMORY_SHARE = 1 / 8  # of the memory limit, the most for each kind of buffered bytes
-# Of the memory beyond PROCESS_BYTES, the most for each kind: three kinds of buffers, and others.
+MIN_CUSTOMERS = 1000
+CUSTOMER_BYTES = 1000  # of a customer in the policy
+# Of the memory beyond PROCESS_BYTES, the most for each kind: three kinds of buffers, and customers.
 FREE_MEMORY_SHARE = 1 / 4
 
 
@@ -23,6 +25,7 @@
     server_sockets: int
     request_bytes: int  # of unanswered commands
     client_bytes: int  # of incomplete commands and unsent answers
+    customers: int  # in the memory of the policy
     answer_bytes: int  # of incomplete answers from servers
 
     @classmethod
@@ -37,6 +40,7 @@
             server_sockets=sockets - client_sockets,
             request_bytes=buffer_bytes,
             client_bytes=buffer_bytes,
+            customers=max(MIN_CUSTOMERS, buffer_bytes // 2 // CUSTOMER_BYTES),
             answer_bytes=buffer_bytes,
         )
 
--- a/thistletrail/gateway/server.py
+++ b/thistletrail/gateway/server.py
@@ -59,7 +59,7 @@
         self.costs = costs.CostCounters(config.time_stages)
         self.takeover: Takeover | None = None
         limits = ResourceLimits.from_config(config)
-        self.policy = PolicyEngine(config.settings)
+        self.policy = PolicyEngine(config.settings, max_customers=limits.customers)
         self.driver = PolicyDriver(self.policy, self.costs.stages)
         self.backends = Backends(
             config.conn_idle_us,
--- a/thistletrail/policy/budget_leases.py
+++ b/thistletrail/policy/budget_leases.py
@@ -3,11 +3,12 @@
 from collections.abc import Iterator
 
 from thistletrail.policy.admission_queue import AdmissionQueue
+from thistletrail.policy.customer_quotas import CustomerQuotas
 from thistletrail.policy.dispatcher import Dispatcher
 from thistletrail.policy.event_context import EventContext
 from thistletrail.policy.events import BudgetDemand, BudgetGranted, BudgetKey, BudgetKind
 from thistletrail.policy.leased_budgets import LeasedBudget
-from thistletrail.policy.quota import CustomerKey, CustomerQuotas
+from thistletrail.policy.quota import CustomerKey
 from thistletrail.policy.quota_admission import QuotaAdmission
 from thistletrail.policy.retry_policy import RetryBudget
 from thistletrail.policy.units import MICROSECONDS_PER_SECOND
--- a/thistletrail/policy/engine.py
+++ b/thistletrail/policy/engine.py
@@ -13,6 +13,7 @@
 from thistletrail.policy.admission_queue import AdmissionQueue
 from thistletrail.policy.attempt_outcomes import OutcomeRecorder
 from thistletrail.policy.budget_leases import BudgetLeases
+from thistletrail.policy.customer_quotas import DEFAULT_MAX_CUSTOMERS, CustomerQuotas
 from thistletrail.policy.dispatcher import Dispatcher
 from thistletrail.policy.event_context import TICK_US, EventContext
 from thistletrail.policy.events import (
@@ -37,7 +38,6 @@
 from thistletrail.policy.overload_control import OverloadController
 from thistletrail.policy.pending_request import PendingRequest
 from thistletrail.policy.pending_requests import PendingRequests
-from thistletrail.policy.quota import CustomerQuotas
 from thistletrail.policy.quota_admission import QuotaAdmission
 from thistletrail.policy.quota_exchange import QuotaExchange
 from thistletrail.policy.quota_receiver import QuotaReceiver
@@ -62,10 +62,17 @@
 
     The engine has no clock and does no I/O: the same events at the same times, with the same settings, give
     the same actions. `observer` is called with the basis of each decision; None observes nothing.
+    `max_customers` bounds the customers in memory.
     """
 
-    def __init__(self, settings: Settings, observer: DecisionObserver | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        observer: DecisionObserver | None = None,
+        max_customers: int = DEFAULT_MAX_CUSTOMERS,
+    ) -> None:
         self.settings = settings
+        self.max_customers = max_customers
         self.observer = observer or NoObserver()
         self.context = EventContext()
         self.wake_up_us = NEVER_US
@@ -123,7 +130,7 @@
             self.retry_budget,
             self.traffic,
         )
-        self.customers = CustomerQuotas(settings, context, self.incarnations)
+        self.customers = CustomerQuotas(settings, context, self.incarnations, self.max_customers)
         self.exchange = QuotaExchange(settings, context, self.servers, self.gossip, self.incarnations)
         self.admission = QuotaAdmission(
             settings,
--- a/thistletrail/policy/quota.py
+++ b/thistletrail/policy/quota.py
@@ -3,9 +3,7 @@
 import math
 from typing import NamedTuple
 
-from thistletrail.policy.event_context import EventContext
 from thistletrail.policy.events import BudgetKind
-from thistletrail.policy.incarnations import Incarnations
 from thistletrail.policy.leased_budgets import leased_budgets_of
 from thistletrail.policy.settings import Plan, Settings
 from thistletrail.policy.token_bucket import TokenBucket
@@ -17,8 +15,7 @@
 # The quota owner's figures apply for this long after its answer.
 OWNER_ANSWER_FRESH_US = MICROSECONDS_PER_SECOND
 
-# The minimum time for which an idle customer is retained.
-MIN_RETENTION_US = 10 * MICROSECONDS_PER_SECOND
+LEVEL_SLACK = 1e-6  # units; buckets that were refilled in different steps differ by rounding errors
 
 # Shares of a customer's ceiling: the first is split evenly over its gateways. The second is reserved at its
 # quota owner, which grants units of it on request, as many gateways would each have less than a unit of a
@@ -105,6 +102,16 @@
         """The number of gateways that share the customer."""
         return self.key.set_size
 
+    def is_replaceable_by(self, fresh: "CustomerQuota") -> bool:
+        """Whether a new customer in this one's place would have no more units, and nothing would be lost."""
+        return (
+            not self.unreported_spending
+            and self.set_level >= fresh.set_level - LEVEL_SLACK
+            and self.local_bucket.level >= fresh.local_bucket.level - LEVEL_SLACK
+            and self.ceiling_bucket.level >= fresh.ceiling_bucket.level - LEVEL_SLACK
+            and self.ceiling_grant_bucket.level >= fresh.ceiling_grant_bucket.level - LEVEL_SLACK
+        )
+
     def limit_to_refill_since(self, serving_since_us: int) -> None:
         """Limit the quota to what its rate has brought since a restarted gateway began to serve.
 
@@ -277,77 +284,3 @@
 def ceiling_share(plan: Plan, share: float, level: float) -> TokenBucket:
     """A share of a customer's ceiling, where the whole ceiling is at `level` units."""
     return TokenBucket(plan.ceiling_rate, plan.ceiling_burst, share, level * share)
-
-
-def refill_time_us(plan: Plan) -> int:
-    """The longest time that a customer's buckets take to refill, from the maximum debt."""
-    quota_s = 0.0
-    if plan.rate:
-        quota_s = plan.burst / plan.rate + DEMAND_TIME_CONSTANT_US / MICROSECONDS_PER_SECOND
-    ceiling_s = plan.ceiling_burst / plan.ceiling_rate if plan.ceiling_rate else 0.0
-    return round(MICROSECONDS_PER_SECOND * max(quota_s, ceiling_s))
-
-
-class CustomerQuotas:
-    """The customers that this gateway has in memory, from the least to the most recently used."""
-
-    def __init__(self, settings: Settings, context: EventContext, incarnations: Incarnations) -> None:
-        self.settings = settings
-        self.context = context
-        self.incarnations = incarnations
-        self.by_key: dict[CustomerKey, CustomerQuota] = {}
-        # The first key of each customer and plan, by `(customer, plan_index)`.
-        self.first_keys: dict[tuple[int, int], CustomerKey] = {}
-        self.started_us = 0
-        self.retention_us = max(MIN_RETENTION_US, *map(refill_time_us, settings.plans))
-
-    def start(self) -> None:
-        """Record the present event, the first one, as the start of the gateway.
-
-        The gateway may begin to serve at a later event (see `Incarnations.serving_since_us`).
-        """
-        self.started_us = self.context.now_us
-
-    def get(self, key: CustomerKey) -> CustomerQuota:
-        """The customer of that key, refilled up to now; one that is not in memory is created."""
-        customer = self.by_key.pop(key, None) or self.create(key)
-        self.by_key[key] = customer  # the most recently used customer is the last one
-        return customer.refill(self.context.now_us)
-
-    def create(self, key: CustomerKey) -> CustomerQuota:
-        """A new customer, with a full quota unless its earlier spending may be unknown or under another key.
-
-        The earlier spending is unknown after a restart, also with a snapshot, which may lack the customer.
-        """
-        plan = self.settings.plans[key.plan_index]
-        customer = CustomerQuota(plan, key, self.settings, self.context.now_us, self.started_us)
-        if self.incarnations.has_restarted:
-            customer.limit_to_refill_since(self.incarnations.serving_since_us)
-        # The same customer with another set of gateways must not get a second burst.
-        if self.first_keys.setdefault(key[:2], key) != key:
-            customer.empty()
-        return customer
-
-    def forget_idle(self) -> None:
-        """Remove idle customers whose buckets are full again.
-
-        Without this, memory would grow with every customer that sends a single request.
-        """
-        while self.by_key:
-            key, oldest = next(iter(self.by_key.items()))
-            if oldest.in_flight or self.context.now_us - oldest.refilled_at_us <= self.retention_us:
-                return
-            del self.by_key[key]
-            if self.first_keys.get(key[:2]) == key:
-                del self.first_keys[key[:2]]
-
-    def limit_after_restart(self) -> None:
-        """Limit the customers without an answer of their quota owner, as this gateway has restarted.
-
-        Called when a peer's announcement shows the restart. A gateway that restored a snapshot knows of its
-        restart before that, and its customers keep their restored levels.
-        """
-        for customer in self.by_key.values():
-            if customer.owner_answered_at_us < 0:
-                customer.refill(self.context.now_us)
-                customer.limit_to_refill_since(self.incarnations.serving_since_us)
--- a/thistletrail/policy/quota_receiver.py
+++ b/thistletrail/policy/quota_receiver.py
@@ -1,9 +1,10 @@
 """Incoming quota messages of peers: reports to the quota owner, its answers, and announcements of starts."""
 
+from thistletrail.policy.customer_quotas import CustomerQuotas
 from thistletrail.policy.event_context import EventContext
 from thistletrail.policy.events import QuotaMessage
 from thistletrail.policy.incarnations import Incarnations
-from thistletrail.policy.quota import CustomerKey, CustomerQuota, CustomerQuotas
+from thistletrail.policy.quota import CustomerKey, CustomerQuota
 from thistletrail.policy.quota_admission import QuotaAdmission
 from thistletrail.policy.quota_exchange import QuotaExchange
 from thistletrail.policy.settings import Settings
--- a/thistletrail/policy/request_lifecycle.py
+++ b/thistletrail/policy/request_lifecycle.py
@@ -4,6 +4,7 @@
 
 from thistletrail.policy.admission_queue import AdmissionQueue
 from thistletrail.policy.attempt_outcomes import OutcomeRecorder
+from thistletrail.policy.customer_quotas import CustomerQuotas
 from thistletrail.policy.dispatcher import Dispatcher
 from thistletrail.policy.event_context import EventContext
 from thistletrail.policy.events import (
@@ -20,7 +21,7 @@
 from thistletrail.policy.overload_control import OverloadController
 from thistletrail.policy.pending_request import PendingRequest
 from thistletrail.policy.pending_requests import PendingRequests
-from thistletrail.policy.quota import CustomerKey, CustomerQuotas
+from thistletrail.policy.quota import CustomerKey
 from thistletrail.policy.quota_admission import QuotaAdmission
 from thistletrail.policy.request_expiry import (
     NEEDED_LATENCIES_IN_QUEUE,
--- a/thistletrail/policy/snapshot.py
+++ b/thistletrail/policy/snapshot.py
@@ -4,6 +4,7 @@
 part of a snapshot has a maximum age, beyond which it is not restored.
 """
 
+from thistletrail.policy.customer_quotas import CustomerQuotas
 from thistletrail.policy.event_context import EventContext
 from thistletrail.policy.events import (
     CustomerSnapshot,
@@ -13,7 +14,7 @@
 )
 from thistletrail.policy.incarnations import Incarnations
 from thistletrail.policy.overload_control import OverloadController
-from thistletrail.policy.quota import CustomerKey, CustomerQuota, CustomerQuotas
+from thistletrail.policy.quota import CustomerKey, CustomerQuota
 from thistletrail.policy.server_set import ServerSet
 from thistletrail.policy.settings import Settings
 from thistletrail.policy.units import MICROSECONDS_PER_SECOND
