Bound what slow HTTP clients cost the registry and the lease service

Callers saw a registry grow from 37 to 101 MB, and a lease service from 39 to 389 MB (825 MB for large frames), under some hundred clients that stopped half way through a request; the connections were never closed. Cause: the defaults of aiohttp (no bound on connections, an hour for a head, no limit for a body, reads of 256 KiB), and up to 8 MiB buffered for each of 1,000 streams whose sender could not be verified yet. Change: one listener for both services with bounds on connections, heads and times; a bound on the bytes of all incomplete calls to the lease service, whose largest unverified call is ended first. The tests of the registry, the lease service, takeover and fault injection pass.

--- a/thistletrail/leasing/__main__.py
+++ b/thistletrail/leasing/__main__.py
@@ -14,8 +14,8 @@
 from urllib.request import Request, urlopen
 
 import click
-from aiohttp import web
 
+from thistletrail.bounded_http import listening
 from thistletrail.leasing.config import Config, read_config
 from thistletrail.leasing.errors import ConfigError, FolderLockedError
 from thistletrail.leasing.framing import MIN_SECRET_BYTES, SIGNATURE_HEADER, sign
@@ -113,17 +113,10 @@
 
 async def listen(service: LeaseService, host: str, port: int, stopped: asyncio.Event) -> int:
     """Answer calls until `stopped` is set or another process leads; return the port listened on."""
-    runner = web.AppRunner(service.app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-    await runner.setup()
-    try:
-        site = web.TCPSite(runner, host, port)
-        await site.start()
-        bound_host, bound_port = runner.addresses[0][:2]
+    async with listening(service.app, host, port, SHUTDOWN_TIMEOUT_S) as (bound_host, bound_port):
         print(f"lease service serves at {bound_host}:{bound_port}", flush=True)
         await wait_for_any(stopped, service.committer.leadership_lost)
-    finally:
-        await runner.cleanup()
-    return int(bound_port)
+    return bound_port
 
 
 async def wait_for_any(*events: asyncio.Event) -> None:
--- a/thistletrail/leasing/http_service.py
+++ b/thistletrail/leasing/http_service.py
@@ -6,6 +6,7 @@
 import hmac
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 
 import msgspec
 from aiohttp import web
@@ -27,6 +28,7 @@
 )
 from thistletrail.leasing.journal import Journal
 from thistletrail.leasing.messages import RenewRequest, WorkRequest
+from thistletrail.leasing.receive_budget import IncompleteCall, ReceiveBudget
 from thistletrail.leasing.work_records import WorkOutcome
 from thistletrail.write_ahead_log.record_file import WriteFailedError
 
@@ -58,6 +60,31 @@
         return web.Response(status=HTTP_SERVICE_UNAVAILABLE, text=f"{error}\n")
 
 
+def disconnect(request: web.Request, buffer: bytearray) -> None:
+    """Close the connection of a call at once, and free what has been received."""
+    buffer.clear()
+    if request.transport is not None:
+        request.transport.abort()
+
+
+async def read_body(request: web.Request, call: IncompleteCall, buffer: bytearray, max_bytes: int) -> None:
+    """Read the body of a call into a buffer.
+
+    Raises:
+        HTTPRequestEntityTooLarge: It has more than `max_bytes` (413).
+        HTTPRequestTimeout: It is not complete in time (408).
+    """
+    try:
+        while not request.content.at_eof():
+            async with call.time_limit():
+                buffer += await request.content.readany()
+            if len(buffer) > max_bytes:
+                raise web.HTTPRequestEntityTooLarge(max_size=max_bytes, actual_size=len(buffer))
+            call.resize(len(buffer))
+    except TimeoutError as error:
+        raise web.HTTPRequestTimeout from error
+
+
 class LeaseService:
     """The HTTP application of one term of the lease service.
 
@@ -75,8 +102,9 @@
         """
         self.secret = secret
         self.committer = Committer(journal, config, leadership_lost)
+        self.receive_budget = ReceiveBudget()
         self.stream_count = 0
-        self.app = web.Application(middlewares=[errors_as_responses], client_max_size=MAX_RENEW_BYTES)
+        self.app = web.Application(middlewares=[errors_as_responses])
         self.app.add_routes(
             [
                 web.post(RENEW_PATH, self.on_renew),
@@ -101,7 +129,10 @@
 
     async def on_renew(self, request: web.Request) -> web.Response:
         """Handle a renewal of a holder's budget leases."""
-        body = await request.read()
+        buffer = bytearray()
+        with self.receive_budget.receiving(partial(disconnect, request, buffer)) as call:
+            await read_body(request, call, buffer, MAX_RENEW_BYTES)
+        body = bytes(buffer)
         self.check_signature(request, body)
         try:
             renewal = msgspec.msgpack.decode(body, type=RenewRequest)
@@ -137,24 +168,32 @@
     async def answer_frames(self, request: web.Request, response: web.StreamResponse) -> None:
         """Answer frames until an error ends the stream; nothing is sent before the first valid frame."""
         frames = FrameReader(self.secret, MAX_WORK_BYTES)
-        frame = await self.next_frame(request, frames)
-        await response.prepare(request)
-        while True:
-            await response.write(await self.answer_frame(frame))
-            frame = await self.next_frame(request, frames)
+        with self.receive_budget.receiving(partial(disconnect, request, frames.buffer)) as call:
+            frame = await self.next_frame(request, frames, call)
+            call.is_verified = True
+            await response.prepare(request)
+            while True:
+                await response.write(await self.answer_frame(frame))
+                frame = await self.next_frame(request, frames, call)
 
-    async def next_frame(self, request: web.Request, frames: FrameReader) -> Frame:
+    async def next_frame(self, request: web.Request, frames: FrameReader, call: IncompleteCall) -> Frame:
         """Return the next frame once it is complete.
 
         Raises:
             EOFError: The gateway has ended the stream.
-            FrameError: The frame is invalid.
+            FrameError: The frame is invalid, or takes too long.
         """
         while (frame := frames.next()) is None:
-            data = await request.content.readany()
+            call.resize(len(frames.buffer))
+            try:
+                async with call.time_limit():
+                    data = await request.content.readany()
+            except TimeoutError as error:
+                raise FrameError("frame that is not complete in time") from error
             if not data:
                 raise EOFError
             frames.feed(data)
+        call.resize(len(frames.buffer))
         return frame
 
     async def answer_frame(self, frame: Frame) -> bytes:
--- a/thistletrail/registry/__main__.py
+++ b/thistletrail/registry/__main__.py
@@ -14,8 +14,8 @@
 from pathlib import Path
 
 import click
-from aiohttp import web
 
+from thistletrail.bounded_http import listening
 from thistletrail.registry.follower import Follower
 from thistletrail.registry.http_service import ReadService, RegistryService
 from thistletrail.write_ahead_log.record_file import CorruptFileError
@@ -23,9 +23,6 @@
 SHUTDOWN_TIMEOUT_S = 3.0
 """Time limit for responses in progress when the process shuts down."""
 
-MAX_HEADER_BYTES = 8190
-"""Maximum length of the request line and of each header field."""
-
 DEFAULT_FILL_S = 5.0
 """Longer than the renewal interval, a third of the default lease: by then scan servers have tried to renew
 and learned that they must register again."""
@@ -41,24 +38,12 @@
 
 async def serve(create_service: ServiceFactory, host: str, port: int) -> None:
     """Serve until SIGTERM or SIGINT, then end all watches and sync the state to disk."""
-    runner = web.AppRunner(
-        create_service().app,
-        access_log=None,
-        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
-    )
-    await runner.setup()
-    try:
-        await web.TCPSite(runner, host, port).start()
-        bound_host, bound_port = runner.addresses[0][:2]
+    async with listening(create_service().app, host, port, SHUTDOWN_TIMEOUT_S) as (bound_host, bound_port):
         print(f"registry serves at {bound_host}:{bound_port}", flush=True)
         stop_requested = asyncio.Event()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(signal_number, stop_requested.set)
         await stop_requested.wait()
-    finally:
-        await runner.cleanup()
 
 
 def parse_address(address: str) -> tuple[str, int]:
--- a/thistletrail/registry/http_service.py
+++ b/thistletrail/registry/http_service.py
@@ -52,6 +52,9 @@
 MAX_BODY_BYTES = 4096
 """Maximum size of a request body, ten times that of a registration."""
 
+BODY_TIMEOUT_S = 2.0
+"""Time limit for the body of a request, that of a registration's whole attempt."""
+
 WATCHER_WRITE_TIMEOUT_S = 10.0
 """A watch is closed if its reader accepts no data for this long."""
 
@@ -376,7 +379,12 @@
 
 async def _read_json_object(request: web.Request) -> dict[str, Any]:
     try:
-        value = json.loads(await request.text())
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            text = await request.text()
+    except TimeoutError as error:
+        raise web.HTTPRequestTimeout from error
+    try:
+        value = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise RejectedError("the body is not JSON") from error
     if not isinstance(value, dict):
