Use only the latest of several instances at one address

Callers saw work for a scan server that had gone reach the new process at its address, until the list dropped the old id: in another zone or cell a repeat of a keyed request is not recognised there. Cause: a gateway did not conclude from a new name at an address in use that the old process has ended. Change: AddressOwners replaces the state of earlier instances at an address by GONE, by start time and then by the order of the updates; without evidence it changes nothing. No run with real processes has shown a request that ran twice by this.

--- a/thistletrail/gateway/server.py
+++ b/thistletrail/gateway/server.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from thistletrail.gateway import cost_counters as costs
+from thistletrail.gateway.address_owners import AddressOwners
 from thistletrail.gateway.backends import Backends
 from thistletrail.gateway.clients import Clients, CommandParser
 from thistletrail.gateway.config import Config
@@ -82,6 +83,7 @@
         self.peers = PeerTransport(config.peers, config.settings.gateway_index, self.driver.post, self.costs)
         self.driver.connect(self.action_handlers(), self.exchanges)
         self.endpoint_codec = EndpointListCodec(config)
+        self.address_owners = AddressOwners()
         self.discovery = self.new_discovery()
 
     # --- wiring ---
@@ -166,6 +168,7 @@
 
     def on_endpoint_update(self, update: EndpointListUpdate) -> None:
         """Apply a complete endpoint list, or changes to it."""
+        update = self.address_owners.resolve(update)
         is_full = update.event.kind is not EndpointUpdateKind.CHANGES
         states = {server.name: server.state for server in update.event.servers}
         self.backends.update(states, update.addresses, is_full)
