Split the client connections into modules for parsing, one connection, and all of them

Change: command_parser.py and client_connection.py are moved out of it, unchanged but for imports; the tests follow the names. The bound on the memory of an idle connection counts the allocations of both modules.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -76,7 +76,7 @@
                 await (await RespClient.connect(address)).request(
                     query_command(f"w{number}", wait_ms=LONG_TIMEOUT_MS)
                 )
-            measure = allocated_bytes("thistletrail/gateway/clients.py")
+            measure = allocated_bytes("thistletrail/gateway/client*.py")
             clients = [await RespClient.connect(address) for _ in range(count)]
             for number, client in enumerate(clients):
                 assert await client.request(query_command(f"a{number}", wait_ms=LONG_TIMEOUT_MS)) == b"ok"
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -22,8 +22,14 @@
     running_gateway,
     value_response,
 )
-from thistletrail.gateway import clients
-from thistletrail.gateway.clients import CommandError, CommandParser
+from thistletrail.gateway import client_connection, clients, command_parser
+from thistletrail.gateway.client_connection import (
+    MAX_CONSECUTIVE_ERRORS,
+    MAX_PIPELINED,
+    STATE_TIMEOUTS_US,
+    State,
+)
+from thistletrail.gateway.command_parser import CommandError, CommandParser
 from thistletrail.gateway.resp import CommandReader, ProtocolError
 from thistletrail.policy.overload_control import IN_FLIGHT_PER_SERVER
 
@@ -124,7 +130,7 @@
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",d=900"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",é=1"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",odd"),
-        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",x=" * clients.MAX_FIELDS),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",x=" * command_parser.MAX_FIELDS),
         ("PING", "a", "b"),
     ],
 )
@@ -166,7 +172,7 @@
             early = await RespClient.connect(address)  # the others have not been idle for long enough
             assert await early.read_reply() == "-ERR max number of clients reached"
             assert await early.closed_without_reply()
-            for connection in gateway.clients.eviction_candidates[clients.State.IDLE]:
+            for connection in gateway.clients.eviction_candidates[State.IDLE]:
                 connection.state_since_us -= clients.MIN_IDLE_US
             fourth = await RespClient.connect(address)
             assert await fourth.request(encode_command("PING")) == b"PONG"
@@ -251,16 +257,16 @@
 def shorten_timeout(monkeypatch: pytest.MonkeyPatch, name: str) -> None:
     """Set the timeout of this name to a short time."""
     monkeypatch.setattr(clients, "SWEEP_INTERVAL_S", 0.01)
-    monkeypatch.setattr(clients, name, TEST_TIMEOUT_US)
-    monkeypatch.setitem(clients.STATE_TIMEOUTS_US, clients.State.PINGED, clients.IDLE_TIMEOUT_US)
+    monkeypatch.setattr(client_connection, name, TEST_TIMEOUT_US)
+    monkeypatch.setitem(STATE_TIMEOUTS_US, State.PINGED, client_connection.IDLE_TIMEOUT_US)
     states = {
-        "IDLE_TIMEOUT_US": clients.State.IDLE,
-        "PARTIAL_COMMAND_TIMEOUT_US": clients.State.PARTIAL,
-        "UNREAD_ANSWERS_TIMEOUT_US": clients.State.WRITE_PAUSED,
-        "LINGER_TIMEOUT_US": clients.State.CLOSING,
+        "IDLE_TIMEOUT_US": State.IDLE,
+        "PARTIAL_COMMAND_TIMEOUT_US": State.PARTIAL,
+        "UNREAD_ANSWERS_TIMEOUT_US": State.WRITE_PAUSED,
+        "LINGER_TIMEOUT_US": State.CLOSING,
     }
     if name in states:
-        monkeypatch.setitem(clients.STATE_TIMEOUTS_US, states[name], TEST_TIMEOUT_US)
+        monkeypatch.setitem(STATE_TIMEOUTS_US, states[name], TEST_TIMEOUT_US)
 
 
 @pytest.mark.parametrize(
@@ -295,10 +301,10 @@
 
 def test_timeouts_are_within_the_limits_of_the_protocol() -> None:
     sweep_us = clients.SWEEP_INTERVAL_S * 1e6
-    assert 2_000_000 < clients.FIRST_COMMAND_TIMEOUT_US < 3_000_000 - 2 * sweep_us
-    assert clients.PARTIAL_COMMAND_TIMEOUT_US + 2 * sweep_us < 3_000_000
-    assert clients.UNREAD_ANSWERS_TIMEOUT_US + 2 * sweep_us < 3_000_000
-    assert min(clients.IDLE_TIMEOUT_US, clients.MIN_IDLE_US) > 2_000_000
+    assert 2_000_000 < client_connection.FIRST_COMMAND_TIMEOUT_US < 3_000_000 - 2 * sweep_us
+    assert client_connection.PARTIAL_COMMAND_TIMEOUT_US + 2 * sweep_us < 3_000_000
+    assert client_connection.UNREAD_ANSWERS_TIMEOUT_US + 2 * sweep_us < 3_000_000
+    assert min(client_connection.IDLE_TIMEOUT_US, clients.MIN_IDLE_US) > 2_000_000
 
 
 def test_connection_ends_when_its_client_reads_no_answers(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -442,7 +448,7 @@
             max_unanswered = max(max_unanswered, len(gateway.exchanges.unanswered))
             return value_response(arguments[2])
 
-        backends = [StubScanServer(respond) for _ in range(clients.MAX_PIPELINED // IN_FLIGHT_PER_SERVER + 1)]
+        backends = [StubScanServer(respond) for _ in range(MAX_PIPELINED // IN_FLIGHT_PER_SERVER + 1)]
         async with running_gateway(*backends, settings=LONG_TIMEOUT_SETTINGS) as (gateway, address):
             client = await RespClient.connect(address)
             names = [f"a{number}" for number in range(300)]
@@ -450,7 +456,7 @@
             client.send(queries + encode_command("PING") * 300)
             assert [await client.read_reply() for _ in names] == [name.encode() for name in names]
             assert [await client.read_reply() for _ in names] == [b"PONG"] * 300
-            assert 1 < max_unanswered <= clients.MAX_PIPELINED
+            assert 1 < max_unanswered <= MAX_PIPELINED
 
     run_scenario(scenario())
 
@@ -460,7 +466,7 @@
         async with running_gateway() as (_, address):
             client = await RespClient.connect(address)
             client.send(encode_command("WHAT") * 1000)
-            for _ in range(clients.MAX_CONSECUTIVE_ERRORS):
+            for _ in range(MAX_CONSECUTIVE_ERRORS):
                 assert await client.read_reply() == "-ERR unknown command"
             # The commands that had been read with them are answered as well: they might have been valid.
             last_answers = []
@@ -468,7 +474,7 @@
                 while True:
                     last_answers.append(await client.read_reply())
             assert set(last_answers) == {"-ERR too many wrong commands"}
-            assert len(last_answers) <= 1000 - clients.MAX_CONSECUTIVE_ERRORS + 1
+            assert len(last_answers) <= 1000 - MAX_CONSECUTIVE_ERRORS + 1
 
     run_scenario(scenario())
 
@@ -479,8 +485,8 @@
         async with running_gateway() as (_, address):
             client = await RespClient.connect(address)
             requests = b"".join(query_command(f"a{number}") for number in range(20))
-            client.send(encode_command("WHAT") * clients.MAX_CONSECUTIVE_ERRORS + requests)
-            for _ in range(clients.MAX_CONSECUTIVE_ERRORS):
+            client.send(encode_command("WHAT") * MAX_CONSECUTIVE_ERRORS + requests)
+            for _ in range(MAX_CONSECUTIVE_ERRORS):
                 assert await client.read_reply() == "-ERR unknown command"
             for _ in range(20):
                 assert await client.read_reply() == "-ERR too many wrong commands"
@@ -494,7 +500,7 @@
         async with running_gateway(StubScanServer()) as (gateway, address):
             max_bytes, gateway.exchanges.max_buffered_bytes = gateway.exchanges.max_buffered_bytes, -1
             client = await RespClient.connect(address)
-            count = 3 * clients.MAX_CONSECUTIVE_ERRORS
+            count = 3 * MAX_CONSECUTIVE_ERRORS
             client.send(b"".join(query_command(f"a{number}") for number in range(count)))
             for _ in range(count):
                 assert await client.read_reply() == "-ERR too many requests are open"
@@ -511,11 +517,11 @@
             client = await RespClient.connect(address)
             assert await client.request(encode_command("PING")) == b"PONG"
             connection = next(iter(gateway.clients.connections))
-            connection.reader.feed(encode_command("PING") * clients.MAX_PIPELINED + query_command("a1"))
+            connection.reader.feed(encode_command("PING") * MAX_PIPELINED + query_command("a1"))
             connection.process()
             assert connection.has_more_commands
             assert not gateway.clients.make_room()
-            for _ in range(clients.MAX_PIPELINED):
+            for _ in range(MAX_PIPELINED):
                 assert await client.read_reply() == b"PONG"
             assert await client.read_reply() == b"ok"
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,9 +28,9 @@
     value_response,
     watch_event,
 )
-from thistletrail.gateway import backends, clients, graceful_shutdown
+from thistletrail.gateway import backends, client_connection, clients, graceful_shutdown
 from thistletrail.gateway.backends import now_us
-from thistletrail.gateway.clients import State
+from thistletrail.gateway.client_connection import State
 from thistletrail.gateway.config import Address
 from thistletrail.gateway.recent_request_ids import RETENTION_US, RecentRequestIds
 from thistletrail.gateway.server import GatewayServer
@@ -53,7 +53,7 @@
     return bytes(data_received)
 
 
-def connection_of(gateway: GatewayServer, client: socket.socket) -> clients.ClientConnection:
+def connection_of(gateway: GatewayServer, client: socket.socket) -> client_connection.ClientConnection:
     """Return the gateway's side of a client's connection."""
     (connection,) = [
         connection
@@ -65,10 +65,10 @@
 
 async def fill_pipeline(gateway: GatewayServer, client: socket.socket, scan_server: StubScanServer) -> None:
     """Send more commands than a connection may have in flight, so that the gateway stops reading from it."""
-    for number in range(clients.MAX_PIPELINED + 4):
+    for number in range(client_connection.MAX_PIPELINED + 4):
         client.sendall(submit_command(f"a{number}", wait_ms=LONG_TIMEOUT_MS))
     await scan_server.wait_for_commands(5)
-    while len(gateway.exchanges.unanswered) < clients.MAX_PIPELINED:
+    while len(gateway.exchanges.unanswered) < client_connection.MAX_PIPELINED:
         await asyncio.sleep(0.001)
 
 
@@ -86,7 +86,7 @@
                 await scan_server.wait_for_commands(1)
                 while not gateway.costs.served:
                     await asyncio.sleep(0.001)
-                has_unread = clients.has_unread
+                has_unread = client_connection.has_unread
                 connection = connection_of(gateway, client)
 
                 def send_after_check(transport: asyncio.Transport) -> bool:
@@ -95,7 +95,7 @@
                         client.sendall(query_command("second"))
                     return result
 
-                monkeypatch.setattr(clients, "has_unread", send_after_check)
+                monkeypatch.setattr(client_connection, "has_unread", send_after_check)
                 draining = asyncio.create_task(gateway.drain())
                 assert await received(client) == b"$2\r\nok\r\n"
                 await draining
@@ -120,7 +120,7 @@
                 connection = connection_of(gateway, client)
                 await gateway.drain()
                 assert connection.state is State.CLOSING
-                assert now_us() - connection.state_since_us >= clients.LINGER_TIMEOUT_US
+                assert now_us() - connection.state_since_us >= client_connection.LINGER_TIMEOUT_US
 
     run_scenario(scenario())
 
@@ -220,7 +220,7 @@
                 await fill_pipeline(gateway, client, scan_server)
             while gateway.exchanges.unanswered or gateway.clients.sockets or gateway.policy.requests_by_id:
                 await asyncio.sleep(0.001)
-            assert gateway.costs.gone == clients.MAX_PIPELINED
+            assert gateway.costs.gone == client_connection.MAX_PIPELINED
 
     run_scenario(scenario())
 
@@ -432,9 +432,9 @@
         scan_server = StubScanServer()
         async with running_gateway(scan_server, settings=LONG_TIMEOUT_SETTINGS) as (gateway, address):
             with raw_client(address) as client:
-                names = [f"a{number}" for number in range(3 * clients.MAX_PIPELINED)]
+                names = [f"a{number}" for number in range(3 * client_connection.MAX_PIPELINED)]
                 client.sendall(b"".join(query_command(name, wait_ms=LONG_TIMEOUT_MS) for name in names))
-                while len(gateway.exchanges.unanswered) < clients.MAX_PIPELINED:
+                while len(gateway.exchanges.unanswered) < client_connection.MAX_PIPELINED:
                     await asyncio.sleep(0)
                 while not any(pool.connecting for pool in gateway.backends.pools.values()):
                     await asyncio.sleep(0)
--- a/tests/test_takeover_messages.py
+++ b/tests/test_takeover_messages.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.sockets import CONFIG, SETTINGS, query_command, submit_command
-from thistletrail.gateway.clients import CommandParser
+from thistletrail.gateway.command_parser import CommandParser
 from thistletrail.gateway.deadline import Deadline
 from thistletrail.gateway.errors import GatewayError, TransferredRequestError
 from thistletrail.gateway.exchange import Exchange
--- a/thistletrail/gateway/exchange.py
+++ b/thistletrail/gateway/exchange.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from thistletrail.gateway.backends import NEVER, Attempt
-from thistletrail.gateway.clients import Command
+from thistletrail.gateway.command_parser import Command
 from thistletrail.gateway.deadline import Deadline, Stage
 from thistletrail.policy.events import AttemptResult, Event
 
--- a/thistletrail/gateway/exchanges.py
+++ b/thistletrail/gateway/exchanges.py
@@ -5,12 +5,11 @@
 from functools import partial
 
 from thistletrail.gateway.backends import NEVER, Attempt, now_us
-from thistletrail.gateway.clients import (
-    FAILED_RESPONSE,
+from thistletrail.gateway.client_connection import FAILED_RESPONSE, Reply
+from thistletrail.gateway.command_parser import (
     Command,
     CommandError,
     CommandParser,
-    Reply,
     TooManyRequestsError,
 )
 from thistletrail.gateway.config import Config
--- a/thistletrail/gateway/server.py
+++ b/thistletrail/gateway/server.py
@@ -14,7 +14,8 @@
 from thistletrail.gateway import cost_counters as costs
 from thistletrail.gateway.address_owners import AddressOwners
 from thistletrail.gateway.backends import Backends
-from thistletrail.gateway.clients import Clients, CommandParser
+from thistletrail.gateway.clients import Clients
+from thistletrail.gateway.command_parser import CommandParser
 from thistletrail.gateway.config import Config
 from thistletrail.gateway.discovery_client import DiscoveryClient
 from thistletrail.gateway.endpoint_list import EndpointListCodec, EndpointListUpdate
--- a/thistletrail/gateway/takeover/coordinator.py
+++ b/thistletrail/gateway/takeover/coordinator.py
@@ -7,7 +7,8 @@
 import random
 
 from thistletrail.gateway.backends import Attempt, now_us
-from thistletrail.gateway.clients import FAILED_RESPONSE, CommandParser
+from thistletrail.gateway.client_connection import FAILED_RESPONSE
+from thistletrail.gateway.command_parser import CommandParser
 from thistletrail.gateway.config import Config
 from thistletrail.gateway.deadline import DeadlineSource
 from thistletrail.gateway.exchange import AttemptSender, EventSink, Exchange
--- a/thistletrail/gateway/takeover/host.py
+++ b/thistletrail/gateway/takeover/host.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from thistletrail.gateway.clients import Command
+from thistletrail.gateway.command_parser import Command
 from thistletrail.gateway.deadline import Deadline
 from thistletrail.gateway.exchange import Exchange, ReplyTarget
 from thistletrail.policy.actions import FailRequest, RejectRequest
--- a/thistletrail/gateway/takeover/messages.py
+++ b/thistletrail/gateway/takeover/messages.py
@@ -5,7 +5,7 @@
 import hashlib
 
 from thistletrail.gateway.backends import Attempt, now_us
-from thistletrail.gateway.clients import Command, CommandError, CommandParser, read_fields
+from thistletrail.gateway.command_parser import Command, CommandError, CommandParser, read_fields
 from thistletrail.gateway.errors import TransferredRequestError
 from thistletrail.gateway.exchange import Exchange
 from thistletrail.gateway.resp import CommandReader, ProtocolError, encode
--- a/thistletrail/gateway/takeover/work_table.py
+++ b/thistletrail/gateway/takeover/work_table.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from thistletrail.gateway.clients import FAILED_RESPONSE
+from thistletrail.gateway.client_connection import FAILED_RESPONSE
 from thistletrail.gateway.exchange import EventSink
 from thistletrail.gateway.takeover.client import WorkLeaseClient
 from thistletrail.gateway.takeover.counts import TakeoverCounts
--- a/thistletrail/gateway/takeover/work_transfer.py
+++ b/thistletrail/gateway/takeover/work_transfer.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 
 from thistletrail.gateway.backends import now_us
-from thistletrail.gateway.clients import CommandParser
+from thistletrail.gateway.command_parser import CommandParser
 from thistletrail.gateway.deadline import ANSWER_MARGIN_US, Deadline
 from thistletrail.gateway.errors import TransferredRequestError
 from thistletrail.gateway.exchange import EventSink
