Drop a request at once where its attempt is not written as its client has left

Need: an attempt that is not written for a departed client ended as NOT_SENT, and the policy might then reject the request or have it wait, instead of dropping it. Change: start_attempt and may_write use one check, which drops the request.

--- a/thistletrail/gateway/exchanges.py
+++ b/thistletrail/gateway/exchanges.py
@@ -176,10 +176,7 @@
         If the request is over or has no attempts left, reports the attempt to the policy as not sent.
         """
         exchange = self.unanswered.get(action.id)
-        if exchange is not None and not exchange.reply.is_wanted():
-            self.on_client_disconnected(exchange.reply)
-            exchange = None
-        if exchange is None:
+        if exchange is None or not self.is_wanted(exchange):
             self.report_not_sent(action, self.answered_in_flight.get(action.id), is_over=True)
             return
         if exchange.attempt_count >= self.settings.max_attempts:
@@ -223,7 +220,14 @@
         Its connection may have taken long to be set up. Meanwhile the client may have disconnected, or the
         request may have been answered.
         """
-        return exchange.reply.id in self.unanswered and exchange.reply.is_wanted()
+        return exchange.reply.id in self.unanswered and self.is_wanted(exchange)
+
+    def is_wanted(self, exchange: Exchange) -> bool:
+        """Whether the client of an unanswered request is still connected; if not, the request is dropped."""
+        if exchange.reply.is_wanted():
+            return True
+        self.on_client_disconnected(exchange.reply)
+        return False
 
     def cancel_attempt(self, action: CancelAttempt) -> None:
         """Cancel an attempt if it is still in flight."""
