Read a client's connection once in each turn of the loop

Cause: the event loop reads one socket up to 32 times, 512 KiB, before it serves the next one. Change: after a read that fills the buffer, the connection is read again in the next turn. The new test fails without the change.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -20,6 +20,7 @@
     query_command,
     run_scenario,
     running_gateway,
+    submit_command,
     value_response,
 )
 from thistletrail.gateway import client_connection, clients, command_parser
@@ -409,6 +410,39 @@
     run_scenario(scenario())
 
 
+def test_connection_is_read_once_in_each_turn_of_the_loop(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against one client that sends at full speed and delays the answers to others.
+    reads: list[tuple[int, int]] = []
+    turn = 0
+    update = client_connection.ClientConnection.buffer_updated
+
+    def record_read(connection: client_connection.ClientConnection, count: int) -> None:
+        reads.append((turn, id(connection)))
+        update(connection, count)
+
+    monkeypatch.setattr(client_connection.ClientConnection, "buffer_updated", record_read)
+
+    async def scenario() -> None:
+        async with running_gateway(StubScanServer()) as (gateway, address):
+
+            def count_turn() -> None:
+                nonlocal turn
+                turn += 1
+                gateway.loop.call_soon(count_turn)
+
+            count_turn()
+            client = await RespClient.connect(address)
+            body = b"x" * (4 * clients.READ_BUFFER_BYTES - 1000)
+            for number in range(8):
+                client.send(submit_command(f"a{number}", body=body))
+            for _ in range(8):
+                assert await client.read_reply() == b"ok"
+            assert len(reads) >= 8 * 3
+            assert len(set(reads)) == len(reads)
+
+    run_scenario(scenario())
+
+
 def test_unanswered_requests_are_bounded_by_the_memory_limit() -> None:
     async def scenario() -> None:
         backends = [StubScanServer(lambda arguments: None) for _ in range(64 // IN_FLIGHT_PER_SERVER + 1)]
--- a/thistletrail/gateway/client_connection.py
+++ b/thistletrail/gateway/client_connection.py
@@ -165,6 +165,8 @@
                     self.loop_late_us = max(self.loop_late_us, now - self.reading_paused_us)
                 self.reading_resumed_us = 0
             self.process()
+            if count == len(self.clients.read_buffer):
+                self.yield_to_others()
             self.clients.limit_partial_commands(self)
 
     def process(self) -> None:
@@ -202,6 +204,16 @@
             self.is_processing_scheduled = True
             self.clients.loop.call_soon(self.process_scheduled)
 
+    def yield_to_others(self) -> None:
+        """Read the rest of what has arrived in the loop's next turn, after the other connections.
+
+        The event loop would otherwise read one socket up to 32 times before it serves the next one.
+        """
+        if not self.is_closing:
+            self.has_more_commands = True
+            self.schedule_processing()
+            self.update_state()
+
     def process_scheduled(self) -> None:
         """Handle further commands, unless that has happened meanwhile or the connection closes."""
         self.is_processing_scheduled = False
