Close idle connections to the process before, when the list shows that an instance has started again

Change: an update with another start time of a known instance closes its idle connections. Result: the new test fails without the change; tests of address owners, server, backends and crossings pass.

--- a/tests/test_address_owners.py
+++ b/tests/test_address_owners.py
@@ -15,6 +15,7 @@
     http_chunk,
     query_command,
     run_scenario,
+    running_gateway,
     watch_event,
 )
 from thistletrail.gateway.address_owners import AddressOwners
@@ -108,3 +109,24 @@
             gateway.close()
 
     run_scenario(scenario())
+
+
+def test_idle_connections_to_the_process_before_are_closed_when_an_instance_has_started_again() -> None:
+    # Guards against a request that is written to a connection of a process that has gone.
+    async def scenario() -> None:
+        scan_server = StubScanServer()
+        async with running_gateway(scan_server, settings=LONG_TIMEOUT_SETTINGS) as (gateway, address):
+            client = await RespClient.connect(address)
+            assert await client.request(query_command("a1", wait_ms=LONG_TIMEOUT_MS)) == b"ok"
+            (pool,) = gateway.backends.pools.values()
+            while not pool.idle:
+                await asyncio.sleep(0)
+            gateway.on_endpoint_update(update(endpoint_entry("s0", pool.address)))
+            assert pool.idle
+            gateway.on_endpoint_update(update(endpoint_entry("s0", pool.address, started_ms=5000)))
+            assert not pool.idle
+            await scan_server.connection_closed.wait()
+            assert await client.request(query_command("a2", wait_ms=LONG_TIMEOUT_MS)) == b"ok"
+            assert scan_server.opened_connections == 2
+
+    run_scenario(scenario())
--- a/thistletrail/gateway/server.py
+++ b/thistletrail/gateway/server.py
@@ -173,8 +173,20 @@
         is_full = update.event.kind is not EndpointUpdateKind.CHANGES
         states = {server.name: server.state for server in update.event.servers}
         self.backends.update(states, update.addresses, is_full)
+        self.close_connections_to_earlier_processes(update)
         self.driver.post(update.event)
 
+    def close_connections_to_earlier_processes(self, update: EndpointListUpdate) -> None:
+        """Close the idle connections to instances that the update shows to have started again.
+
+        They lead to the process before, whose machine may have vanished without closing them. A request
+        on one is reset by the new process, and one of an unsafe class cannot be retried.
+        """
+        for server in update.event.servers:
+            known = self.policy.servers_by_name.get(server.name)
+            if known and known.entry.started_us != server.started_us:
+                self.backends.close_idle(server.name)
+
     # --- start and end ---
 
     async def start(self) -> None:
