Ignore a delayed call of a gateway whose lease has ended, also after a restart

Need: a request that was answered BUSY must have no effect, whatever call is late. The lease service knew the serial of a gateway's latest call only while the gateway's lease lasted, and not after its own restart. A call that came later than that counted as new, and began released work again: if the gateway was lost then, another one ran it.

test_a_delayed_request_changes_nothing_after_the_end_of_its_gateways_lease fails without the change in both forms.

--- a/tests/test_work_state.py
+++ b/tests/test_work_state.py
@@ -430,6 +430,40 @@
     assert not fleet.work.store.items
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_a_delayed_request_changes_nothing_after_the_end_of_its_gateways_lease(is_restarted: bool) -> None:
+    # Guards against released work that a delayed call begins again, for a gateway that is lost.
+    fleet = Fleet(2)
+    holder = fleet.holders[0]
+    holder.enqueue(begin_work())
+    delayed = holder.next_request(fleet.now)
+    holder.requeue_unanswered()
+    fleet.call(0)
+    holder.release("c/k", never_ran=True)
+    fleet.call(0)
+    fleet.advance(2 * WORK_LEASE_MS, 1)
+    if is_restarted:
+        restarted = WorkState(0)
+        for record in fleet.log:
+            restarted.restore(record)
+        restarted.finish_restore(fleet.now)
+        fleet.work = restarted
+    decision = fleet.work.handle(delayed, fleet.now)
+    assert [result.status for result in decision.response.results] == [OperationStatus.LOST]
+    assert not fleet.work.store.items and not decision.records
+
+
+def test_a_snapshot_keeps_the_latest_request_of_each_gateway() -> None:
+    # Guards against a delayed call that is carried out after a snapshot and a restart.
+    fleet = Fleet(2)
+    fleet.call(1, begin_work())
+    restored = WorkState(0)
+    for record in fleet.work.snapshot_records():
+        restored.restore(record)
+    assert restored.membership.stamps() == fleet.work.membership.stamps()
+    assert list(restored.store.items) == ["c/k"]
+
+
 def test_a_request_that_is_not_persisted_returns_its_begins_and_queues_the_rest_again() -> None:
     holder = WorkHolder(5, 1)
     holder.enqueue(begin_work())
--- a/thistletrail/leasing/journal.py
+++ b/thistletrail/leasing/journal.py
@@ -230,7 +230,7 @@
             quiet_until_ms=states.budgets.quiet_until_ms,
             issued=[self.stored_grant(grant) for grant in states.budgets.issued_grants()],
             work_fence=states.work.store.fence,
-            work=[self.stored_work_record(record) for record in states.work.store.records()],
+            work=[self.stored_work_record(record) for record in states.work.snapshot_records()],
         )
 
     def write_snapshot(self, snapshot: StoredSnapshot) -> None:
--- a/thistletrail/leasing/model_checking/work_world.py
+++ b/thistletrail/leasing/model_checking/work_world.py
@@ -137,6 +137,7 @@
             repr(sorted(self.service.store.items.items())),
             repr(sorted(membership.members.items())),
             repr(sorted(membership.latest_incarnations.items())),
+            repr(sorted(membership.latest_serials.items())),
             repr(gateways),
         )
 
@@ -157,6 +158,7 @@
         for name, member in service.membership.members.items()
     }
     copied.membership.latest_incarnations = dict(service.membership.latest_incarnations)
+    copied.membership.latest_serials = dict(service.membership.latest_serials)
     copied.counters = replace(service.counters, ended=service.counters.ended.copy())
     copied.records = []
     return copied
--- a/thistletrail/leasing/work_records.py
+++ b/thistletrail/leasing/work_records.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from typing import NamedTuple
 
 from msgspec import field
 
@@ -82,3 +83,29 @@
 
 
 WorkRecord = WorkBegan | WorkAttempted | WorkOwned | WorkEnded | WorkDropped
+
+# Names of items begin with a customer or with `#`.
+REQUEST_STAMP_PREFIX = "!request/"
+
+
+class RequestStamp(NamedTuple):
+    """The latest request of a gateway that was carried out; a delayed earlier one must change nothing."""
+
+    gateway: int
+    incarnation: int
+    serial: int
+
+    def to_record(self) -> WorkDropped:
+        """Return the journal record of the stamp.
+
+        It has the form of the end of an item that never exists, which earlier revisions ignore.
+        """
+        return WorkDropped(name=f"{REQUEST_STAMP_PREFIX}{self.gateway}/{self.incarnation}/{self.serial}")
+
+
+def read_request_stamp(record: WorkRecord) -> RequestStamp | None:
+    """Return the stamp that a journal record stores; None if it is a record of an item."""
+    if not isinstance(record, WorkDropped) or not record.name.startswith(REQUEST_STAMP_PREFIX):
+        return None
+    gateway, incarnation, serial = record.name.removeprefix(REQUEST_STAMP_PREFIX).split("/")
+    return RequestStamp(int(gateway), int(incarnation), int(serial))
--- a/thistletrail/leasing/work_state.py
+++ b/thistletrail/leasing/work_state.py
@@ -9,12 +9,13 @@
 
 Each change of an item that a restart must restore is a record. A method here creates and applies it, and the
 caller journals it before any response is sent. `restore` and `finish_restore` rebuild the state from the
-records of a journal. Leases, an extended `end_ms` and `declined_by` are changed without a record.
+records of a journal. Leases, an extended `end_ms` and `declined_by` are changed without a record. Each
+request with operations is recorded too, so that a delayed repetition changes nothing after a restart either.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from thistletrail.leasing.errors import RequestRejectedError
@@ -36,6 +37,7 @@
 )
 from thistletrail.leasing.work_membership import Member, Membership
 from thistletrail.leasing.work_records import (
+    RequestStamp,
     WorkAttempted,
     WorkBegan,
     WorkDropped,
@@ -43,6 +45,7 @@
     WorkOutcome,
     WorkOwned,
     WorkRecord,
+    read_request_stamp,
 )
 from thistletrail.leasing.work_store import (
     MAX_STORED_BYTES,
@@ -97,7 +100,16 @@
 
     def restore(self, record: WorkRecord) -> None:
         """Apply a record that was read from a journal."""
-        self.store.apply(record)
+        if stamp := read_request_stamp(record):
+            self.membership.record_request(stamp)
+        else:
+            self.store.apply(record)
+
+    def snapshot_records(self) -> Iterator[WorkRecord]:
+        """Yield the records that restore the state, for a snapshot."""
+        for stamp in self.membership.stamps():
+            yield stamp.to_record()
+        yield from self.store.records()
 
     def finish_restore(self, now_ms: int) -> None:
         """Start a new lease for each owner, as it may have been alive until now; called after all records."""
@@ -208,6 +220,9 @@
             self.membership.record_incarnation(request.gateway, request.incarnation)
             self.transfer_and_drop_items(now_ms)  # the items of its earlier incarnation
         member = self.membership.renew(request, now_ms + self.lease_ms)
+        if request.operations:
+            stamp = RequestStamp(request.gateway, request.incarnation, request.serial)
+            self.records.append(stamp.to_record())
         holder = holder_name(request.gateway, request.incarnation)
         results = [
             self.apply_operation(holder, operation, now_ms)
