Keep a poll for owned work in flight until its result, and adopt no fence that is being released

The gateway ran work that the lease service had dropped, and another gateway could begin it anew: a key could run in both zones.

A request has one poll at a time, until its result or the request's end. A fence whose release is on its way is not adopted; the result counts as that of another owner.

--- a/tests/test_work_state.py
+++ b/tests/test_work_state.py
@@ -464,6 +464,23 @@
     assert list(restored.store.items) == ["c/k"]
 
 
+def test_a_begin_answered_with_a_fence_that_is_being_released_gives_no_item() -> None:
+    # Guards against issue 35, entry 1: a gateway that takes itself for the owner of a dropped item.
+    fleet, holder = Fleet(1), WorkHolder(5, 1)
+    holder.enqueue(begin_work())
+    first = holder.next_request(START)
+    holder.withdraw("c/k")
+    holder.enqueue(begin_work())
+    holder.on_response(fleet.work.handle(first, START).response, START)
+    request = holder.next_request(START)
+    applied = holder.on_response(fleet.work.handle(request, START).response, START).operations
+    assert [entry.result.status for entry in applied] == [
+        OperationStatus.ELSEWHERE,
+        OperationStatus.PERSISTED,
+    ]
+    assert not holder.fences and not holder.releasing and not fleet.work.store.items
+
+
 def test_a_request_that_is_not_persisted_returns_its_begins_and_queues_the_rest_again() -> None:
     holder = WorkHolder(5, 1)
     holder.enqueue(begin_work())
--- a/thistletrail/gateway/takeover/ownership_wait.py
+++ b/thistletrail/gateway/takeover/ownership_wait.py
@@ -58,22 +58,21 @@
     def poll(self, item: WorkItem, begin: BeginWork) -> None:
         """Send the `BeginWork` again; the result is the outcome, the lease, or that there is another owner.
 
-        If the lease service is unreachable, the queue is full, or another request of this gateway has the
-        work's name, nothing is sent and the request waits for the next poll.
+        If the previous poll has no result yet, the lease service is unreachable, the queue is full, or
+        another request of this gateway has the work's name, nothing is sent and the request waits for the
+        next poll.
         """
         if item.is_over:
             return
+        if item.pending_begin is not None:
+            self.wait(item, begin)
+            return
         item_with_name = self.table.by_name.get(item.name)
         next_begin = msgspec.structs.replace(begin, left_ms=remaining_ms(item))
         may_use_name = item_with_name is None or item_with_name is item
         if may_use_name and not self.client.is_unreachable and self.client.enqueue(next_begin):
             self.table.by_name[item.name] = item
             item.pending_begin = next_begin
-            item.start_timer(self.record_timeout_s, self.on_poll_timeout, item, next_begin)
+            item.start_timer(self.record_timeout_s, self.wait, item, next_begin)
         else:
             self.wait(item, next_begin)
-
-    def on_poll_timeout(self, item: WorkItem, begin: BeginWork) -> None:
-        """Withdraw a poll without a result after its time-out, and schedule the next one."""
-        self.table.withdraw_begin(item)
-        self.wait(item, begin)
--- a/thistletrail/leasing/model_checking/work_world.py
+++ b/thistletrail/leasing/model_checking/work_world.py
@@ -84,6 +84,7 @@
         holder.queue = list(holder.queue)
         holder.accepted_fences = list(holder.accepted_fences)
         holder.withdrawn = set(holder.withdrawn)
+        holder.releasing = set(holder.releasing)
         progress_by_item = {name: copy.copy(progress) for name, progress in self.progress_by_item.items()}
         return GatewayProcess(holder, self.is_alive, progress_by_item)
 
--- a/thistletrail/leasing/work_holder.py
+++ b/thistletrail/leasing/work_holder.py
@@ -71,6 +71,7 @@
         self.in_flight: InFlightRequest | None = None
         self.accepted_fences: list[int] = []  # of transferred items that the next request acknowledges
         self.withdrawn: set[str] = set()  # names whose `BeginWork` was withdrawn while in flight
+        self.releasing: set[int] = set()  # fences whose `ReleaseWork` has no result
         self.is_draining = False
 
     # --- ownership ---
@@ -91,9 +92,8 @@
         if self.is_alive(now_ms) or not self.fences:
             return []
         lost = list(self.fences)
-        for name, fence in self.fences.items():
-            self.queue.append(ReleaseWork(name=name, fence=fence))
-        self.fences.clear()
+        for name in lost:
+            self.release(name)
         return lost
 
     # --- operations ---
@@ -114,6 +114,7 @@
         fence = self.fences.pop(name, 0)
         if fence:
             self.queue.append(ReleaseWork(name=name, fence=fence, transfer=transfer, never_ran=never_ran))
+            self.releasing.add(fence)
 
     def withdraw(self, name: str) -> None:
         """Withdraw a `BeginWork`: remove it from the queue, or release its item once the result arrives."""
@@ -191,9 +192,7 @@
             return AppliedResponse()
         self.in_flight = None
         self.until_ms = max(self.until_ms, self.lease_end_ms(in_flight.sent_ms, response.lease_ms))
-        operations = tuple(map(AppliedOperation, in_flight.operations, response.results))
-        for applied in operations:
-            self.apply_result(applied.operation, applied.result)
+        operations = tuple(map(self.apply_result, in_flight.operations, response.results))
         already_accepted = self.accepted_fences
         self.accepted_fences = []
         if not self.is_alive(now_ms):  # too late: transferred items are not accepted
@@ -204,16 +203,31 @@
             self.fences[item.name] = item.fence
         return AppliedResponse(operations, arrived)
 
-    def apply_result(self, operation: WorkOperation, result: OperationResult) -> None:
+    def apply_result(self, operation: WorkOperation, result: OperationResult) -> AppliedOperation:
         """Record the item that an operation's result gives to this gateway, or drop the one it lost."""
         if isinstance(operation, BeginWork):
-            if result.status is OperationStatus.PERSISTED:
-                self.fences[operation.name] = result.fence
-            if operation.name in self.withdrawn:
-                self.withdrawn.discard(operation.name)
-                self.release(operation.name, never_ran=not result.server)
-        elif result.status is OperationStatus.LOST and self.fences.get(operation.name) == operation.fence:
+            return self.apply_begin_result(operation, result)
+        if result.status is OperationStatus.LOST and self.fences.get(operation.name) == operation.fence:
             del self.fences[operation.name]
+        if isinstance(operation, ReleaseWork):
+            self.releasing.discard(operation.fence)
+        return AppliedOperation(operation, result)
+
+    def apply_begin_result(self, begin: BeginWork, result: OperationResult) -> AppliedOperation:
+        """Record the item that a `BeginWork` gives to this gateway, or release it if it was withdrawn.
+
+        A repeated `BeginWork` may be answered with the fence of an item whose release is on its way. The
+        lease service drops that item, so the request has to ask again, as if another gateway owned it.
+        """
+        if result.status is OperationStatus.PERSISTED:
+            if result.fence in self.releasing:
+                result = OperationResult(status=OperationStatus.ELSEWHERE)
+            else:
+                self.fences[begin.name] = result.fence
+        if begin.name in self.withdrawn:
+            self.withdrawn.discard(begin.name)
+            self.release(begin.name, never_ran=not result.server)
+        return AppliedOperation(begin, result)
 
 
 def payload_bytes(operation: WorkOperation) -> int:
