--- a/tests/test_leasing_service.py
+++ b/tests/test_leasing_service.py
@@ -763,4 +763,4 @@
         timeout=60,
         check=False,
     )
-    assert result.returncode == 0 and result.stdout.count("states to depth 3") == 4
+    assert result.returncode == 0 and result.stdout.count("states to depth 3") == 5
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -89,6 +89,8 @@
 CONCURRENT_REQUESTS = 8  # two per gateway, which the limit of attempts in flight allows
 ANSWER_TIMEOUT_S = 8.0  # longer than a lease, a takeover and the usual deadline of 3 s together
 POLL_INTERVAL_S = 0.02
+LATE_ANSWER_S = 0.4  # longer than the wait for a record, shorter than the time for a call
+MAX_REQUESTS = 20  # until one is in flight to the lease service when the wait for its record ends
 
 
 def run_fleet(
@@ -249,6 +251,38 @@
     assert len(fleet.execution_zones["k"]) == 1 and fleet.count_in_log(0, "released 1")
 
 
+def test_request_answered_before_its_late_record_is_refused_only_if_nothing_runs_it(tmp_path: Path) -> None:
+    # Guards against review/6: BUSY after 150 ms without a record, then a death, and the work is taken over.
+    async def scenario(fleet: CrashFleet) -> None:
+        fleet.answer_delay_s[0] = LATE_ANSWER_S
+        for number in range(MAX_REQUESTS):
+            key = f"k{number}"
+            outcomes[key] = await fleet.send(0, fleet.encode("keyed", key, f"a{key}", BODY), ANSWER_TIMEOUT_S)
+            if outcomes[key] == "failed":
+                fleet.gateways[0].kill()
+                await wait_until(lambda key=key: fleet.attempts[key])
+                return
+
+    outcomes: dict[str, str] = {}
+    fleet = run_fleet(tmp_path, scenario)
+    failed = [key for key, outcome in outcomes.items() if outcome == "failed"]
+    assert len(failed) == 1 and len(fleet.attempts[failed[0]]) == 1
+    assert not any(fleet.attempts[key] for key, outcome in outcomes.items() if outcome == "refused")
+
+
+def test_refused_request_is_not_recorded_when_its_client_hears_of_it(tmp_path: Path) -> None:
+    # Guards against BUSY while the record exists, so that the gateway's death has the request run.
+    async def scenario(fleet: CrashFleet) -> None:
+        fleet.turned_away_keys.add("k")
+        outcome = await fleet.send(0, fleet.encode("keyed", "k", "a1", BODY), ANSWER_TIMEOUT_S)
+        intents = (await fleet.work_counts())["intents"]
+        # On a slow machine the release may be confirmed too late: then the request fails.
+        assert (outcome, intents) == ("refused", 0) or outcome == "failed"
+
+    fleet = run_fleet(tmp_path, scenario)
+    assert fleet.attempts["k"] and not fleet.execution_zones["k"]
+
+
 def test_requests_are_served_unrecorded_while_the_lease_service_cannot_write(tmp_path: Path) -> None:
     async def scenario(fleet: CrashFleet) -> None:
         pid = fleet.lease_service.process.pid
--- a/tests/test_takeover_refusals.py
+++ b/tests/test_takeover_refusals.py
@@ -4,31 +4,34 @@
 a test sends and delivers each message between them. The policy's decisions are given by the test.
 """
 
+import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
 import msgspec
+import pytest
 
 from tests.sockets import CONFIG, CUSTOMER, run_scenario, submit_command
-from thistletrail.gateway.backends import Attempt
-from thistletrail.gateway.command_parser import CommandParser
+from thistletrail.gateway.backends import Attempt, now_us
+from thistletrail.gateway.command_parser import CommandError, CommandParser
 from thistletrail.gateway.config import WorkLeaseSettings
 from thistletrail.gateway.cost_counters import CostCounters
 from thistletrail.gateway.exchanges import Exchanges
 from thistletrail.gateway.resp import CommandReader
-from thistletrail.gateway.takeover import TakeoverCoordinator
+from thistletrail.gateway.takeover import TakeoverCoordinator, work_table
 from thistletrail.leasing.framing import now_ms
 from thistletrail.leasing.messages import (
     BeginWork,
+    ReleaseWork,
     TransferredWork,
     WorkOperation,
     WorkRequest,
     WorkResponse,
 )
-from thistletrail.leasing.work_holder import WorkHolder
-from thistletrail.leasing.work_state import WorkState
+from thistletrail.leasing.work_holder import MAX_QUEUED_OPERATIONS, WorkHolder
+from thistletrail.leasing.work_state import LOST, WorkState
 from thistletrail.policy.actions import RejectRequest, StartAttempt
 from thistletrail.policy.events import AttemptEnded, AttemptResult, Server, ServerState
 
@@ -171,22 +174,309 @@
     return wrapper
 
 
+# --- the first record of a request ---
+
+
+@scenario
+async def test_request_whose_record_was_never_sent_is_rejected_at_once(gateway: LeasedGateway) -> None:
+    # Guards against a refusal that waits although nothing is on its way.
+    reply = gateway.open("a1")
+    gateway.time_out_record("a1")
+    assert reply.answers == [BUSY] and not gateway.queued(BeginWork)
+    assert not gateway.lose_gateway()
+
+
+@scenario
+async def test_request_whose_record_is_in_flight_fails_when_it_times_out(gateway: LeasedGateway) -> None:
+    # Guards against review/6: BUSY, then the gateway dies, and another one runs the request.
+    reply = gateway.open("a1")
+    request = gateway.send_request()
+    gateway.time_out_record("a1")
+    assert reply.answers == [FAILED]
+    gateway.deliver(request)
+    assert gateway.lose_gateway() == [WORK_NAME]
+
+
+@scenario
+async def test_late_record_of_a_failed_request_is_released(gateway: LeasedGateway) -> None:
+    # Guards against work that nobody owns up to, and that a retry of its client would wait for.
+    reply = gateway.open("a1")
+    response = gateway.deliver(gateway.send_request())
+    gateway.time_out_record("a1")
+    gateway.receive(response)
+    gateway.exchange()
+    assert reply.answers == [FAILED] and not gateway.service.store.items
+    assert not gateway.attempts and not gateway.lose_gateway()
+
+
+@scenario
+async def test_request_rejected_while_its_record_is_in_flight_waits_for_the_release(
+    gateway: LeasedGateway,
+) -> None:
+    # Guards against BUSY before the release is recorded, where the lease service is in time.
+    reply = gateway.open("a1")
+    response = gateway.deliver(gateway.send_request())
+    gateway.reject("a1")
+    gateway.receive(response)
+    assert not reply.answers
+    gateway.exchange()
+    assert reply.answers == [BUSY] and not gateway.service.store.items
+
+
+@scenario
+async def test_repeated_record_is_not_forgotten_as_if_it_were_never_sent(gateway: LeasedGateway) -> None:
+    # Guards against BUSY for a request whose first call had no response, but was carried out.
+    reply = gateway.open("a1")
+    gateway.deliver(gateway.send_request())
+    gateway.lose_response()
+    gateway.reject("a1")
+    assert not reply.answers
+    gateway.exchange()
+    gateway.exchange()
+    assert reply.answers == [BUSY] and not gateway.service.store.items
+
+
+@scenario
+async def test_withdrawn_record_that_is_sent_again_is_not_taken_over(gateway: LeasedGateway) -> None:
+    # Guards against work that is recorded only after its client was answered, and is then run.
+    reply = gateway.open("a1")
+    gateway.send_request()
+    gateway.lose_response()
+    gateway.time_out_record("a1")
+    assert reply.answers == [FAILED]
+    gateway.deliver(gateway.send_request())
+    assert not gateway.lose_gateway()
+
+
+@scenario
+async def test_request_that_another_gateway_may_have_got_fails(gateway: LeasedGateway) -> None:
+    # Guards against BUSY for work that was transferred while the responses were lost: it runs elsewhere.
+    reply = gateway.open("a1")
+    gateway.deliver(gateway.send_request())
+    gateway.lose_response()
+    assert gateway.lose_gateway()
+    gateway.exchange()
+    assert gateway.leases.counts.waited == 1 and not reply.answers
+    gateway.reject("a1")
+    assert reply.answers == [FAILED]
+
+
+@scenario
+async def test_request_whose_record_was_ignored_as_stale_fails(gateway: LeasedGateway) -> None:
+    # Guards against BUSY where a call arrived twice, and the second response came first.
+    reply = gateway.open("a1")
+    request = gateway.send_request()
+    gateway.deliver(request)
+    repeated = gateway.deliver(request)
+    assert repeated.results == (LOST,)
+    gateway.receive(repeated)
+    gateway.reject("a1")
+    assert reply.answers == [FAILED] and gateway.lose_gateway() == [WORK_NAME]
+
+
+@scenario
+async def test_request_that_the_lease_service_cannot_store_is_rejected_at_once(
+    gateway: LeasedGateway,
+) -> None:
+    # Guards against a request that fails although it is certain that it is not recorded.
+    reply = gateway.open("a1")
+    gateway.send_request()
+    gateway.leases.on_batch_not_persisted(gateway.holder.on_not_persisted())
+    gateway.reject("a1")
+    assert reply.answers == [BUSY] and not gateway.lose_gateway()
+
+
+@scenario
+async def test_repeated_record_that_cannot_be_stored_stays_in_doubt(gateway: LeasedGateway) -> None:
+    # Guards against BUSY where the first call was carried out, and only the repetition was not.
+    reply = gateway.open("a1")
+    gateway.deliver(gateway.send_request())
+    gateway.lose_response()
+    gateway.send_request()
+    gateway.leases.on_batch_not_persisted(gateway.holder.on_not_persisted())
+    gateway.reject("a1")
+    assert not reply.answers and len(gateway.queued(BeginWork)) == 1
+
+
+@scenario
+async def test_request_that_finds_the_queue_full_leaves_no_record(gateway: LeasedGateway) -> None:
+    # Guards against a request in doubt whose record never left the gateway.
+    filler = ReleaseWork(name="x", fence=1)
+    gateway.holder.queue += [filler] * MAX_QUEUED_OPERATIONS
+    reply = gateway.open("a1")
+    assert len(gateway.attempts) == 1
+    gateway.attempts[0].finish(AttemptResult.AT_CAPACITY)
+    gateway.reject("a1")
+    assert reply.answers == [BUSY] and not gateway.queued(BeginWork) and not gateway.holder.withdrawn
+
+
+# --- recorded requests ---
+
+
+def open_recorded(gateway: LeasedGateway) -> StubReply:
+    """Open a request whose first attempt is recorded and sent, and then ends as turned away."""
+    reply = gateway.open("a1")
+    gateway.exchange()
+    gateway.attempts[-1].finish(AttemptResult.AT_CAPACITY)
+    return reply
+
+
+@scenario
+async def test_recorded_request_is_rejected_once_its_release_is_recorded(gateway: LeasedGateway) -> None:
+    # Guards against BUSY while another gateway would still take the work over.
+    reply = open_recorded(gateway)
+    gateway.reject("a1")
+    assert not reply.answers and gateway.service.store.items
+    gateway.exchange()
+    assert reply.answers == [BUSY] and not gateway.service.store.items
+
+
+@scenario
+async def test_recorded_request_fails_at_once_while_the_lease_service_is_unreachable(
+    gateway: LeasedGateway,
+) -> None:
+    # Guards against a client that waits for a lost lease service, and against BUSY without its word.
+    reply = open_recorded(gateway)
+    gateway.leases.client.is_unreachable = True
+    gateway.reject("a1")
+    assert reply.answers == [FAILED] and gateway.lose_gateway() == [WORK_NAME]
+
+
+def test_recorded_request_fails_if_its_release_is_not_confirmed_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a client that waits for a slow lease service.
+    monkeypatch.setattr(work_table, "WITHDRAWAL_TIMEOUT_S", 0.0)
+
+    async def run() -> None:
+        gateway = LeasedGateway()
+        reply = open_recorded(gateway)
+        gateway.reject("a1")
+        while not reply.answers:
+            await asyncio.sleep(0)
+        assert reply.answers == [FAILED] and gateway.leases.counts.unconfirmed == 1
+
+    run_scenario(run())
+
+
+def test_rejection_does_not_wait_beyond_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against an answer that is late.
+    monkeypatch.setattr(work_table, "WITHDRAWAL_TIMEOUT_S", 1e6)
+
+    async def run() -> None:
+        gateway = LeasedGateway()
+        reply = open_recorded(gateway)
+        gateway.exchanges.cap_deadlines(now_us())
+        gateway.reject("a1")
+        while not reply.answers:
+            await asyncio.sleep(0)
+        assert reply.answers == [FAILED] and gateway.leases.counts.unconfirmed == 1
+
+    run_scenario(run())
+
+
+@scenario
+async def test_recorded_request_fails_if_its_release_comes_too_late(gateway: LeasedGateway) -> None:
+    # Guards against BUSY for work that the lease service has transferred before the release arrives.
+    reply = open_recorded(gateway)
+    gateway.reject("a1")
+    assert gateway.lose_gateway()
+    gateway.exchange()
+    assert reply.answers == [FAILED]
+
+
+@scenario
+async def test_attempt_of_a_request_that_is_being_rejected_is_not_sent(gateway: LeasedGateway) -> None:
+    # Guards against a request that runs here after its rejection was decided.
+    reply = open_recorded(gateway)
+    gateway.reject("a1")
+    sent = len(gateway.attempts)
+    gateway.start_attempt("a1")
+    gateway.exchange()
+    assert len(gateway.attempts) == sent and reply.answers == [BUSY]
+
+
+@scenario
+async def test_further_attempt_whose_record_times_out_leaves_the_request_failed(
+    gateway: LeasedGateway,
+) -> None:
+    # Guards against BUSY after a retry whose record is in flight.
+    reply = open_recorded(gateway)
+    gateway.start_attempt("a1", "s1")
+    gateway.send_request()
+    gateway.time_out_record("a1")
+    assert reply.answers == [FAILED]
+
+
+@scenario
+async def test_client_that_leaves_a_rejected_request_is_not_answered(gateway: LeasedGateway) -> None:
+    # Guards against a second release, and an answer to nobody.
+    reply = open_recorded(gateway)
+    gateway.reject("a1")
+    reply.is_connected = False
+    gateway.exchanges.on_client_disconnected(reply)
+    gateway.exchange()
+    assert not reply.answers and not gateway.service.store.items and not gateway.queued(ReleaseWork)
+
+
+@scenario
+async def test_record_of_a_departed_client_is_released(gateway: LeasedGateway) -> None:
+    # Guards against work that is taken over later although its client has left.
+    reply = gateway.open("a1")
+    response = gateway.deliver(gateway.send_request())
+    reply.is_connected = False
+    gateway.exchanges.on_client_disconnected(reply)
+    gateway.receive(response)
+    gateway.exchange()
+    assert not reply.answers and not gateway.service.store.items and not gateway.lose_gateway()
+
+
+@scenario
+async def test_id_of_a_request_whose_record_may_exist_is_not_used_again(gateway: LeasedGateway) -> None:
+    # Guards against two records of one id, of which one is released and the other is run.
+    gateway.open("a1")
+    gateway.send_request()
+    gateway.time_out_record("a1")
+    with pytest.raises(CommandError, match="in use"):
+        gateway.open("a1")
+
+
 # --- requests that wait for another owner ---
 
 
 def open_waiting(gateway: LeasedGateway) -> StubReply:
     """Open a request whose key the other gateway owns; it waits for the outcome."""
     first = gateway.open("b1")
-    gateway.send_request()
-    (begin,) = gateway.holder.in_flight.operations
+    (begin,) = gateway.queued(BeginWork)
     gateway.other.enqueue(msgspec.structs.replace(begin, request_id="other"))
     gateway.transferred_to_other()
-    gateway.holder.requeue_unanswered()
     gateway.exchange()
     assert gateway.leases.counts.waited == 1
     return first
 
 
+@scenario
+async def test_waiting_request_without_a_poll_in_flight_is_rejected_at_once(gateway: LeasedGateway) -> None:
+    # Guards against a request that fails although another gateway's client owns the work.
+    reply = open_waiting(gateway)
+    item = gateway.leases.table.by_request_id["b1"]
+    gateway.leases.table.reject(item)
+    assert reply.answers == [b"-BUSY 1000\r\n"]
+
+
+@scenario
+async def test_waiting_request_is_not_rejected_while_a_poll_may_get_the_work(gateway: LeasedGateway) -> None:
+    # Guards against BUSY, and the poll that follows it makes this gateway the owner of the work.
+    reply = open_waiting(gateway)
+    item = gateway.leases.table.by_request_id["b1"]
+    gateway.leases.ownership_wait.poll(item, make_poll(gateway))
+    response = gateway.deliver(gateway.send_request())
+    gateway.leases.table.reject(item)
+    assert not reply.answers
+    gateway.receive(response)
+    assert reply.answers == [b"-BUSY 1000\r\n"]
+
+
 def make_poll(gateway: LeasedGateway) -> BeginWork:
     item = gateway.leases.table.by_request_id["b1"]
     stored = gateway.service.store.items[item.name]
@@ -221,3 +511,45 @@
     gateway.receive(response)
     gateway.exchange()
     assert gateway.service.store.items[item.name].fence == gateway.holder.fences[item.name]
+
+
+# --- transferred work ---
+
+
+@scenario
+async def test_rejected_request_whose_deadline_the_drain_limits_is_not_transferred(
+    gateway: LeasedGateway,
+) -> None:
+    # Guards against BUSY for work that another gateway continues.
+    reply = open_recorded(gateway)
+    gateway.exchanges.cap_deadlines(now_us() + 400_000)
+    gateway.reject("a1")
+    gateway.exchange()
+    assert reply.answers == [BUSY] and not gateway.transferred_to_other()
+
+
+@scenario
+async def test_transferred_work_that_is_rejected_goes_on_to_another_gateway(gateway: LeasedGateway) -> None:
+    # Guards against keyed work that is dropped, as its first gateway has died and answered nobody.
+    begin = begin_of(gateway, "c1")
+    gateway.other.enqueue(begin)
+    gateway.transferred_to_other()
+    third = WorkHolder(2, 1)
+    gateway.other.release(begin.name, transfer=True, never_ran=True)
+    gateway.transferred_to_other()
+    gateway.exchange()
+    (name,) = gateway.leases.table.by_request_id
+    decision = gateway.service.handle(third.next_request(gateway.service_ms), gateway.service_ms)
+    third.on_response(decision.response, gateway.service_ms)
+    gateway.reject(name)
+    gateway.exchange()
+    decision = gateway.service.handle(third.next_request(gateway.service_ms), gateway.service_ms)
+    assert [item.name for item in decision.response.transferred] == [begin.name]
+
+
+def begin_of(gateway: LeasedGateway, name: str) -> BeginWork:
+    """Return the record of a keyed request, as a gateway that is not lost would send it."""
+    gateway.open(name)
+    (begin,) = gateway.queued(BeginWork)
+    gateway.time_out_record(name)
+    return begin
--- a/tests/test_work_state.py
+++ b/tests/test_work_state.py
@@ -42,7 +42,12 @@
 )
 from thistletrail.leasing.model_checking.search import Walks
 from thistletrail.leasing.model_checking.work import check_near_states, check_walks
-from thistletrail.leasing.model_checking.work_faults import PLANTED_FAULTS, WorkModel
+from thistletrail.leasing.model_checking.work_faults import (
+    PLANTED_FAULTS,
+    PLANTED_REFUSAL_FAULTS,
+    WorkModel,
+)
+from thistletrail.leasing.model_checking.work_refusals import check_near_refusals, check_refusal_walks
 from thistletrail.leasing.work_holder import (
     MAX_BEGINS_PER_REQUEST,
     MAX_REQUEST_BYTES,
@@ -414,11 +419,11 @@
 def test_a_begin_is_withdrawn_from_the_queue_or_released_after_its_result() -> None:
     fleet, holder = Fleet(1), WorkHolder(5, 1)
     holder.enqueue(begin_work())
-    holder.withdraw("c/k")
+    assert holder.withdraw(begin_work())
     assert not holder.queue
     holder.enqueue(begin_work())
     request = holder.next_request(START)
-    holder.withdraw("c/k")
+    assert not holder.withdraw(begin_work())
     response = fleet.work.handle(request, START).response
     holder.on_response(response, START)
     assert (
@@ -430,6 +435,50 @@
     assert not fleet.work.store.items
 
 
+def test_a_withdrawn_begin_that_was_sent_is_sent_again_only_to_be_released() -> None:
+    # Guards against BUSY for a request whose first call had no response, but was carried out.
+    fleet, holder = Fleet(1), WorkHolder(5, 1)
+    holder.enqueue(begin_work())
+    fleet.work.handle(holder.next_request(START), START)
+    holder.requeue_unanswered()
+    assert not holder.withdraw(begin_work())
+    assert [operation.left_ms for operation in holder.queue] == [0]
+    request = holder.next_request(START)
+    (applied,) = holder.on_response(fleet.work.handle(request, START).response, START).operations
+    assert applied.is_withdrawn and applied.was_repeated and not applied.may_run_elsewhere
+    assert not holder.fences and not holder.unresolved and not holder.withdrawn
+    fleet.work.handle(holder.next_request(START), START)
+    assert not fleet.work.store.items
+
+
+def test_a_begin_that_was_not_persisted_when_repeated_is_sent_again() -> None:
+    # Guards against work that counts as not recorded, as only its repetition was not.
+    holder = WorkHolder(5, 1)
+    holder.enqueue(begin_work())
+    holder.next_request(START)
+    holder.requeue_unanswered()
+    holder.next_request(START)
+    assert not holder.on_not_persisted()
+    assert holder.queue == [begin_work()]
+
+
+def test_a_begin_answered_with_a_fence_that_is_being_released_gives_no_item() -> None:
+    # Guards against issue 35, entry 1: a gateway that takes itself for the owner of a dropped item.
+    fleet, holder = Fleet(1), WorkHolder(5, 1)
+    holder.enqueue(begin_work())
+    first = holder.next_request(START)
+    holder.withdraw(begin_work())
+    holder.enqueue(begin_work())
+    holder.on_response(fleet.work.handle(first, START).response, START)
+    request = holder.next_request(START)
+    applied = holder.on_response(fleet.work.handle(request, START).response, START).operations
+    assert [entry.result.status for entry in applied] == [
+        OperationStatus.ELSEWHERE,
+        OperationStatus.PERSISTED,
+    ]
+    assert not holder.fences and not holder.releasing and not fleet.work.store.items
+
+
 @pytest.mark.parametrize("is_restarted", [False, True])
 def test_a_delayed_request_changes_nothing_after_the_end_of_its_gateways_lease(is_restarted: bool) -> None:
     # Guards against released work that a delayed call begins again, for a gateway that is lost.
@@ -464,29 +513,14 @@
     assert list(restored.store.items) == ["c/k"]
 
 
-def test_a_begin_answered_with_a_fence_that_is_being_released_gives_no_item() -> None:
-    # Guards against issue 35, entry 1: a gateway that takes itself for the owner of a dropped item.
-    fleet, holder = Fleet(1), WorkHolder(5, 1)
-    holder.enqueue(begin_work())
-    first = holder.next_request(START)
-    holder.withdraw("c/k")
-    holder.enqueue(begin_work())
-    holder.on_response(fleet.work.handle(first, START).response, START)
-    request = holder.next_request(START)
-    applied = holder.on_response(fleet.work.handle(request, START).response, START).operations
-    assert [entry.result.status for entry in applied] == [
-        OperationStatus.ELSEWHERE,
-        OperationStatus.PERSISTED,
-    ]
-    assert not holder.fences and not holder.releasing and not fleet.work.store.items
-
-
 def test_a_request_that_is_not_persisted_returns_its_begins_and_queues_the_rest_again() -> None:
     holder = WorkHolder(5, 1)
     holder.enqueue(begin_work())
     holder.enqueue(CompleteWork(name="c/x", fence=1, value=b""))
     holder.next_request(START)
-    assert [operation.name for operation in holder.on_not_persisted()] == ["c/k"]
+    unrecorded = holder.on_not_persisted()
+    assert [applied.operation.name for applied in unrecorded] == ["c/k"]
+    assert [applied.result.status for applied in unrecorded] == [OperationStatus.FULL]
     assert [operation.name for operation in holder.queue] == ["c/x"] and not holder.on_not_persisted()
     # The queue is bounded.
     assert sum(holder.enqueue(begin_work(str(n))) for n in range(5 * MAX_OPERATIONS)) < 5 * MAX_OPERATIONS
@@ -626,6 +660,22 @@
     assert not result.violation, result.trace
 
 
+def test_near_refusals_satisfy_the_properties() -> None:
+    result = check_near_refusals(WorkModel, 5)
+    assert not result.violation, result.trace
+    assert result.states > 1000
+
+
+def test_random_refusals_satisfy_the_properties() -> None:
+    result = check_refusal_walks(WorkModel, Walks(3000, 25, 2))
+    assert not result.violation, result.trace
+
+
+@pytest.mark.parametrize("fault", PLANTED_REFUSAL_FAULTS, ids=lambda fault: fault.name)
+def test_each_planted_fault_of_refusals_violates_a_property(fault: type[WorkModel]) -> None:
+    assert check_refusal_walks(fault, Walks(20_000, 25, 1)).violation
+
+
 @pytest.mark.parametrize("fault", PLANTED_FAULTS, ids=lambda fault: fault.name)
 def test_each_planted_fault_violates_a_property(fault: type[WorkModel]) -> None:
     assert check_walks(fault, 3, Walks(20_000, 25, 1)).violation
--- a/thistletrail/fault_injection/crash_injection.py
+++ b/thistletrail/fault_injection/crash_injection.py
@@ -12,7 +12,7 @@
 import contextlib
 import random
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -55,6 +55,7 @@
 SMALL_BODY_BYTES = 256
 LARGE_BODY_BYTES = 64 << 10  # large enough for a crash in the middle of its write
 CLASSES = {"keyed": "submit-record", "unsafe": "send-once"}
+NO_DELAY: Mapping[int, float] = {}
 
 
 @dataclass
@@ -122,6 +123,9 @@
         if key in self.fleet.fatal_keys:
             self.fleet.gateways[self.gateway].kill()
             return
+        if key in self.fleet.turned_away_keys:
+            self.transport.write(b"-BUSY\r\n")
+            return
         loop = asyncio.get_running_loop()
         if (self.zone, key) not in self.fleet.executed:  # the zone ignores a duplicate
             self.fleet.executed.add((self.zone, key))
@@ -158,7 +162,9 @@
             return
         self.fleet.tasks += [
             asyncio.ensure_future(self.relay(reader, upstream_writer, self.inspect_request)),
-            asyncio.ensure_future(self.relay(upstream_reader, writer, self.inspect_answer)),
+            asyncio.ensure_future(
+                self.relay(upstream_reader, writer, self.inspect_answer, self.fleet.answer_delay_s)
+            ),
         ]
 
     async def relay(
@@ -166,12 +172,17 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         should_forward: Callable[[bytes], bool],
+        delay_s: Mapping[int, float] = NO_DELAY,
     ) -> None:
-        """Forward one direction of a connection until its end, or until `should_forward` is false."""
+        """Forward one direction of a connection until its end, or until `should_forward` is false.
+
+        `delay_s` is by how much each chunk is late, by gateway.
+        """
         with contextlib.suppress(OSError):
             while data := await reader.read(1 << 20):
                 if not should_forward(data):
                     break
+                await asyncio.sleep(delay_s.get(self.gateway, 0.0))
                 writer.write(data)
                 await writer.drain()
         writer.close()
@@ -220,7 +231,9 @@
         self.attempts: dict[str, list[tuple[int, int]]] = defaultdict(list)  # by key: (gateway, zone)
         self.unanswered_keys: set[str] = set()  # executed by the scan servers without an answer
         self.fatal_keys: set[str] = set()  # each gateway that sends one of these is killed
+        self.turned_away_keys: set[str] = set()  # the scan servers answer BUSY without an execution
         self.cut_off_gateways: set[int] = set()  # their connections to the lease service are closed
+        self.answer_delay_s: dict[int, float] = {}  # of the lease service's answers, by gateway
         self.tasks: list[asyncio.Future[None]] = []
         self.gateways: list[Process | None] = [None] * gateway_count
         self.configs: list[dict[str, Any]] = []
--- a/thistletrail/gateway/exchange.py
+++ b/thistletrail/gateway/exchange.py
@@ -6,6 +6,7 @@
 from thistletrail.gateway.backends import NEVER, Attempt
 from thistletrail.gateway.command_parser import Command
 from thistletrail.gateway.deadline import Deadline, Stage
+from thistletrail.policy.actions import RejectRequest
 from thistletrail.policy.events import AttemptResult, Event
 
 
@@ -56,8 +57,15 @@
     def on_attempt_ended(self, request_id: str, result: AttemptResult, has_others: bool) -> None:
         """Handle the end of an attempt; `has_others` tells whether its request has others in flight."""
 
-    def on_request_over(self, request_id: str, was_rejected: bool = False) -> None:
-        """Handle a request that the policy has rejected or failed, or whose client has disconnected."""
+    def withdraw_rejected(self, action: RejectRequest) -> bool:
+        """Withdraw the record of a rejected request, then reject it, or fail it if that is not confirmed.
+
+        Returns False if nothing of the request is recorded, or no client waits for its answer: the caller
+        rejects it at once.
+        """
+
+    def on_request_over(self, request_id: str) -> None:
+        """Handle a request that has failed, or whose client has disconnected."""
 
 
 class AttemptTimes(NamedTuple):
@@ -79,6 +87,7 @@
         "deadline",
         "first_run_us",
         "in_flight",
+        "is_recorded",
         "reply",
     )
 
@@ -92,9 +101,13 @@
         # When the first attempt that a server may have run was written.
         self.first_run_us = NEVER
         self.backstop: asyncio.TimerHandle | None = None
+        # Whether the lease service may have a record of it, for which another gateway may run it.
+        self.is_recorded = False
 
     def may_have_run(self) -> bool:
         """Whether a server may have run the request, or may still run it."""
+        if self.is_recorded:
+            return True
         is_written = any(attempt.written_us for attempt in self.in_flight.values())
         return is_written or self.first_run_us < NEVER
 
--- a/thistletrail/gateway/exchanges.py
+++ b/thistletrail/gateway/exchanges.py
@@ -332,9 +332,13 @@
             self.post_disconnected(request_id, exchange)
 
     def reject(self, action: RejectRequest) -> None:
-        """Answer BUSY, with the time in milliseconds after which the client may retry."""
-        if self.work_leases:
-            self.work_leases.on_request_over(action.id, was_rejected=True)
+        """Answer BUSY, with the time in milliseconds after which the client may retry.
+
+        BUSY promises that no server will run the request. The answer to one that is recorded at the lease
+        service therefore waits until the record is withdrawn.
+        """
+        if self.work_leases and self.work_leases.withdraw_rejected(action):
+            return
         retry_after_ms = action.retry_after_us // 1000
         response = b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms > 0 else b"-BUSY\r\n"
         self.costs.refused += self.answer(action.id, response, "was rejected")
--- a/thistletrail/gateway/takeover/client.py
+++ b/thistletrail/gateway/takeover/client.py
@@ -17,7 +17,7 @@
 from thistletrail.leasing.errors import FrameError, ServiceFullError, ServiceUnavailableError
 from thistletrail.leasing.framing import now_ms
 from thistletrail.leasing.messages import WORK_LEASE_MS, WorkOperation, WorkResponse
-from thistletrail.leasing.work_holder import WorkHolder
+from thistletrail.leasing.work_holder import AppliedOperation, WorkHolder
 
 log = logging.getLogger(__name__)
 
@@ -36,8 +36,8 @@
     def on_response(self, response: WorkResponse) -> None:
         """Handle a response, which renews the lease and has the results of the call's operations."""
 
-    def on_batch_not_persisted(self, begins: list[WorkOperation]) -> None:
-        """Handle a batch that the lease service could not persist; `begins` are its `BeginWork`s."""
+    def on_batch_not_persisted(self, begins: list[AppliedOperation]) -> None:
+        """Handle a batch that the lease service could not persist; `begins` are not recorded."""
 
 
 class WorkLeaseClient:
--- a/thistletrail/gateway/takeover/coordinator.py
+++ b/thistletrail/gateway/takeover/coordinator.py
@@ -32,10 +32,12 @@
     CompleteWork,
     OperationResult,
     OperationStatus,
+    ReleaseWork,
     WorkOperation,
     WorkResponse,
 )
-from thistletrail.leasing.work_holder import WorkHolder
+from thistletrail.leasing.work_holder import AppliedOperation, WorkHolder
+from thistletrail.policy.actions import RejectRequest
 from thistletrail.policy.events import AttemptResult
 
 log = logging.getLogger(__name__)
@@ -126,36 +128,47 @@
         self.check_lease()
         applied_response = self.holder.on_response(response, now_ms())
         for applied in applied_response.operations:
-            self.on_result(applied.operation, applied.result)
+            self.on_result(applied)
         for work in applied_response.transferred:
             self.transfer.accept(work)
 
-    def on_batch_not_persisted(self, begins: list[WorkOperation]) -> None:
-        """Handle each of `begins` as not recorded, as the lease service could not persist their batch."""
-        for begin in begins:
-            self.on_result(begin, OperationResult(status=OperationStatus.FULL))
+    def on_batch_not_persisted(self, begins: list[AppliedOperation]) -> None:
+        """Handle the results of `begins`, whose batch the lease service could not persist."""
+        for applied in begins:
+            self.on_result(applied)
 
-    def on_result(self, operation: WorkOperation, result: OperationResult) -> None:
+    def on_result(self, applied: AppliedOperation) -> None:
         """Handle the result of one operation; the result of one under an earlier fence has no effect."""
+        operation = applied.operation
+        result = applied.result
         if isinstance(operation, BeginWork):
-            self.on_begin_result(operation, result)
+            self.on_begin_result(operation, applied)
             return
         item = self.table.by_name.get(operation.name)
         if item is None or item.fence != operation.fence:
             return
-        if result.status == OperationStatus.LOST:
+        if isinstance(operation, ReleaseWork):
+            self.table.on_released(item, result)
+        elif result.status == OperationStatus.LOST:
             self.table.abandon_lost(item)
         elif isinstance(operation, AttemptWork) and operation.number == item.attempt_number:
             self.send_attempt(item)
         elif isinstance(operation, CompleteWork):
             self.table.answer_pending_response(item)
 
-    def on_begin_result(self, begin: BeginWork, result: OperationResult) -> None:
-        """Handle the result of recording a request; that of a withdrawn `BeginWork` has no effect."""
+    def on_begin_result(self, begin: BeginWork, applied: AppliedOperation) -> None:
+        """Handle the result of recording a request; that of a request which is over has no effect."""
         item = self.table.by_name.get(begin.name)
-        if item is None or item.pending_begin is not begin:
+        if item is None or item.pending_begin is None or item.pending_begin.request_id != begin.request_id:
             return
+        result = applied.result
         item.pending_begin = None
+        item.may_run_elsewhere |= applied.may_run_elsewhere
+        is_persisted = result.status is OperationStatus.PERSISTED
+        item.exchange.is_recorded = is_persisted or item.may_run_elsewhere
+        if applied.is_withdrawn:
+            self.table.on_withdrawn_begin(item, result)
+            return
         item.stop_timer()
         if result.status == OperationStatus.PERSISTED:
             self.on_leased(item, begin, result)
@@ -171,7 +184,8 @@
 
         The pending attempt is sent. There are two exceptions, in which the policy chooses a server again: the
         request has waited for another owner's outcome, or it may have run at servers that do not deduplicate
-        together with the attempt's server.
+        together with the attempt's server. Nothing is sent if the attempt has ended meanwhile, as the policy
+        then ends the request.
         """
         self.counts.begun += 1
         item.fence = result.fence
@@ -180,6 +194,8 @@
         self.limit_deadline(item, result.left_ms)
         if item.wait_until_ms:
             self.transfer.resume(item, result.server, result.place)
+        elif item.pending_attempt is None:
+            return
         elif result.server and result.place != begin.place:
             self.table.withdraw_attempt(item)
             self.transfer.resume(item, result.server, result.place)
@@ -245,6 +261,9 @@
         item = self.get_or_add_item(exchange, attempt)
         is_wanted = attempt.may_write
         attempt.may_write = lambda: is_wanted() and (item.is_untracked or self.table.is_leased(item))
+        if item.pending_rejection is not None:
+            attempt.finish(AttemptResult.NOT_SENT)
+            return
         settings = self.requests.settings
         server = self.directory.servers_by_name[attempt.server].entry
         place = place_of_server(settings, exchange.command.class_index, server)
@@ -259,9 +278,9 @@
         elif self.client.is_unreachable or not self.holder.is_alive(now_ms()):
             self.continue_untracked(item)
         else:
-            self.table.by_name[item.name] = item
-            item.pending_begin = begin_message(item, attempt, place, settings)
-            self.enqueue_record(item, item.pending_begin)
+            begin = begin_message(item, attempt, place, settings)
+            self.table.set_pending_begin(item, begin)
+            self.enqueue_record(item, begin)
 
     def get_or_add_item(self, exchange: Exchange, attempt: Attempt) -> WorkItem:
         """Return the work item of an attempt's request; the first attempt adds it to the table."""
@@ -287,11 +306,11 @@
         """End the pending attempt without sending it, as it may not be recorded.
 
         The policy does not retry; it ends the request unless other attempts are in flight. The lease service
-        counts as unreachable until its next response. A `BeginWork` without a result is withdrawn: if it is
-        recorded after all, the work is released, so that a retry of the client does not find it owned.
+        counts as unreachable until its next response. The end of the request withdraws a `BeginWork` without
+        a result: if it is recorded after all, the work is released, so that a retry of the client does not
+        find it owned.
         """
         self.client.is_unreachable = True
-        self.table.withdraw_begin(item)
         attempt = item.pending_attempt
         if attempt is not None:
             item.pending_attempt = None
@@ -302,6 +321,9 @@
         self.counts.untracked += 1
         item.is_untracked = True
         self.table.remove_name(item)
+        if item.pending_begin is not None:  # the queue is full
+            item.pending_begin = None
+            item.exchange.is_recorded = False
         self.send_attempt(item)
 
     def send_attempt(self, item: WorkItem) -> None:
@@ -348,6 +370,10 @@
         self.counts.unrecorded += 1
         self.table.answer_pending_response(item)
 
-    def on_request_over(self, request_id: str, was_rejected: bool = False) -> None:
-        """Release the work of a request that was rejected or failed, or whose client has disconnected."""
-        self.table.release(request_id, was_rejected)
+    def withdraw_rejected(self, action: RejectRequest) -> bool:
+        """Withdraw the record of a rejected request; see `WorkTable.withdraw_rejected`."""
+        return self.table.withdraw_rejected(action)
+
+    def on_request_over(self, request_id: str) -> None:
+        """Release the work of a request that has failed, or whose client has disconnected."""
+        self.table.release(request_id)
--- a/thistletrail/gateway/takeover/counts.py
+++ b/thistletrail/gateway/takeover/counts.py
@@ -21,6 +21,8 @@
         unrecorded: Outcome not confirmed as recorded in time; answered if the lease still lasted.
         untracked: Continued without being recorded.
         waited: Waited for the outcome of another owner: another gateway, or another request of this one.
+        unconfirmed: Rejected by the policy, but answered as failed, as the withdrawal of the record was not
+            confirmed in time.
     """
 
     begun: int = 0
@@ -32,6 +34,7 @@
     unrecorded: int = 0
     untracked: int = 0
     waited: int = 0
+    unconfirmed: int = 0
 
     def format_line(self) -> str:
         """Return all counters as `name count`, separated by commas."""
--- a/thistletrail/gateway/takeover/ownership_wait.py
+++ b/thistletrail/gateway/takeover/ownership_wait.py
@@ -71,8 +71,7 @@
         next_begin = msgspec.structs.replace(begin, left_ms=remaining_ms(item))
         may_use_name = item_with_name is None or item_with_name is item
         if may_use_name and not self.client.is_unreachable and self.client.enqueue(next_begin):
-            self.table.by_name[item.name] = item
-            item.pending_begin = next_begin
+            self.table.set_pending_begin(item, next_begin)
             item.start_timer(self.record_timeout_s, self.wait, item, next_begin)
         else:
             self.wait(item, next_begin)
--- a/thistletrail/gateway/takeover/work_item.py
+++ b/thistletrail/gateway/takeover/work_item.py
@@ -10,6 +10,7 @@
 from thistletrail.gateway.exchange import Exchange
 from thistletrail.gateway.takeover.detached_reply import DetachedReply
 from thistletrail.leasing.messages import BeginWork, WorkEffect
+from thistletrail.policy.actions import RejectRequest
 
 
 @dataclass(slots=True)
@@ -25,6 +26,7 @@
     - owned elsewhere: `wait_until_ms` is not 0, and the request waits for the outcome of the work's owner,
       which is another gateway or another request of this one;
     - outcome being recorded: `pending_response` is sent once the outcome is recorded;
+    - rejected: `pending_rejection` is sent once the lease service has confirmed that its record is withdrawn;
     - untracked: `is_untracked` is set; the work continues without being recorded;
     - over: `is_over` is set; later results and events are ignored.
 
@@ -36,6 +38,7 @@
         attempt_number: Number of the last attempt that was recorded under this fence.
         may_have_run_before: Whether an attempt may have run under an earlier fence.
         may_have_run_here: Whether an attempt of this request at this gateway may have run.
+        may_run_elsewhere: Whether another gateway may run the work, or may have run it, for this request.
         wait_until_ms: When the wait for another owner's outcome ends; 0 if the request does not wait.
     """
 
@@ -48,8 +51,10 @@
     attempt_number: int = 0
     may_have_run_before: bool = False
     may_have_run_here: bool = False
+    may_run_elsewhere: bool = False
     pending_attempt: Attempt | None = None
     pending_response: bytes | None = None
+    pending_rejection: RejectRequest | None = None
     timer: asyncio.TimerHandle | None = None
     is_untracked: bool = False
     is_over: bool = False
--- a/thistletrail/gateway/takeover/work_table.py
+++ b/thistletrail/gateway/takeover/work_table.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from thistletrail.gateway.backends import now_us
 from thistletrail.gateway.client_connection import FAILED_RESPONSE
 from thistletrail.gateway.exchange import EventSink
 from thistletrail.gateway.takeover.client import WorkLeaseClient
@@ -11,7 +12,7 @@
 from thistletrail.gateway.takeover.host import Requests
 from thistletrail.gateway.takeover.work_item import WorkItem
 from thistletrail.leasing.framing import now_ms
-from thistletrail.leasing.messages import WORK_LEASE_MS
+from thistletrail.leasing.messages import WORK_LEASE_MS, BeginWork, OperationResult, OperationStatus
 from thistletrail.policy.actions import FailRequest, RejectRequest
 from thistletrail.policy.events import AttemptEnded, AttemptResult, ClientDisconnected
 
@@ -19,6 +20,8 @@
 
 # Sent to clients. After one work lease the work has no owner, has been taken over or has ended.
 RETRY_AFTER_US = WORK_LEASE_MS * 1000
+# How long a rejection waits until the record of its request is withdrawn; then the request fails.
+WITHDRAWAL_TIMEOUT_S = 0.15
 
 
 class WorkTable:
@@ -46,14 +49,6 @@
 
     # --- withdrawal ---
 
-    def withdraw_begin(self, item: WorkItem) -> None:
-        """Withdraw a `BeginWork` that has no result yet, if there is one."""
-        if item.pending_begin is None:
-            return
-        self.holder.withdraw(item.name)
-        item.pending_begin = None
-        self.remove_name(item)
-
     def withdraw_attempt(self, item: WorkItem) -> None:
         """End the pending attempt and have the policy finish the request, without answering its client.
 
@@ -71,6 +66,12 @@
             )
         )
 
+    def set_pending_begin(self, item: WorkItem, begin: BeginWork) -> None:
+        """Note that a `BeginWork` is queued, under whose name its result finds the item."""
+        self.by_name[item.name] = item
+        item.pending_begin = begin
+        item.exchange.is_recorded = True
+
     def remove_name(self, item: WorkItem) -> None:
         """Remove the item from `by_name`, so that another request can use the name."""
         if self.by_name.get(item.name) is item:
@@ -125,45 +126,108 @@
         self.forget(item)
         self.requests.fail_after_fault(item.request_id)
 
-    def reject(self, item: WorkItem) -> None:
-        """Reject the request; its client is to retry after `RETRY_AFTER_US`."""
-        self.withdraw_begin(item)
-        self.forget(item)
-        self.requests.reject(RejectRequest(item.request_id, RETRY_AFTER_US))
-
-    def release(self, request_id: str, was_rejected: bool = False) -> None:
-        """Release the work of a request that the policy or its client has ended.
-
-        Another gateway is to continue it only if two conditions hold: the policy rejected it here; and it was
-        transferred from another gateway, or a drain of this one ends no later than its deadline.
-        """
+    def release(self, request_id: str) -> None:
+        """Release the work of a request that has failed, or whose client has disconnected."""
         item = self.by_request_id.get(request_id)
         if item is None or item.is_over:
             return
-        self.withdraw_begin(item)
-        is_limited_by_drain = self.requests.drain_end_us <= item.exchange.deadline.end_us
-        is_to_be_transferred = was_rejected and (item.is_transferred or is_limited_by_drain)
-        self.counts.released += self.is_leased(item)
-        self.holder.release(item.name, transfer=is_to_be_transferred, never_ran=item.has_never_run)
-        self.client.wake()
+        if item.pending_rejection is None:
+            self.withdraw_record(item)
         self.forget(item)
 
     def release_unfinished(self) -> None:
         """Release all work without an outcome, so that other gateways continue it."""
         for item in list(self.by_request_id.values()):
-            self.release_for_transfer(item)
+            if item.pending_response is None and item.pending_rejection is None and self.is_leased(item):
+                self.release_for_transfer(item)
+                self.requests.reject(RejectRequest(item.request_id, RETRY_AFTER_US))
+                self.events.post(ClientDisconnected(item.request_id))
 
     def release_for_transfer(self, item: WorkItem) -> None:
-        """Release unfinished work so that another gateway continues it, and reject its request.
-
-        The client is to retry after `RETRY_AFTER_US`. The policy, which has not ended the request, drops it
-        on `ClientDisconnected`.
-        """
-        if item.is_over or item.pending_response is not None or not self.is_leased(item):
-            return
+        """Release work so that another gateway continues it."""
+        self.counts.released += self.is_leased(item)
         self.holder.release(item.name, transfer=True, never_ran=item.has_never_run)
-        self.counts.released += 1
         self.client.wake()
         self.forget(item)
+
+    # --- rejection ---
+
+    def reject(self, item: WorkItem) -> None:
+        """Reject the request once its record is withdrawn; its client is to retry after `RETRY_AFTER_US`."""
         self.requests.reject(RejectRequest(item.request_id, RETRY_AFTER_US))
-        self.events.post(ClientDisconnected(item.request_id))
+
+    def withdraw_rejected(self, action: RejectRequest) -> bool:
+        """Withdraw the record of a rejected request, and answer it later.
+
+        The request is rejected once the lease service has confirmed that no gateway will run it. If that is
+        not confirmed within `WITHDRAWAL_TIMEOUT_S` and the deadline, or the lease service is unreachable, the
+        request fails: it may still be run, if this gateway is lost.
+
+        Returns:
+            False if there is nothing to wait for: the caller rejects the request at once. Then nothing of it
+            is recorded, or its work was transferred to this gateway, so that no client is answered.
+        """
+        item = self.by_request_id.get(action.id)
+        if item is None or item.is_over:
+            return False
+        if item.pending_rejection is not None:
+            return True
+        if item.is_transferred:
+            self.release_for_transfer(item)
+            return False
+        self.stop_waiting(item)
+        is_withdrawn = self.withdraw_record(item)
+        if is_withdrawn and not item.may_run_elsewhere:
+            self.forget(item)
+            return False
+        item.pending_rejection = action
+        if is_withdrawn or item.may_run_elsewhere or self.client.is_unreachable:
+            self.fail_rejected(item)
+        else:
+            remaining_s = item.exchange.deadline.remaining_us(now_us()) / 1e6
+            item.start_timer(min(WITHDRAWAL_TIMEOUT_S, remaining_s), self.fail_rejected, item)
+        return True
+
+    def withdraw_record(self, item: WorkItem) -> bool:
+        """Withdraw the item's record; return False if the lease service has to confirm that.
+
+        An unconfirmed `BeginWork` stays the item's `pending_begin`, so that its result finds the item.
+        """
+        if item.pending_begin is not None:
+            item.exchange.is_recorded = not self.holder.withdraw(item.pending_begin)
+        elif item.fence:
+            self.counts.released += self.is_leased(item)
+            self.holder.release(item.name, never_ran=item.has_never_run)
+            self.client.wake()
+        return not item.exchange.is_recorded
+
+    def on_withdrawn_begin(self, item: WorkItem, result: OperationResult) -> None:
+        """Handle the result of a withdrawn `BeginWork`; the holder releases an item that it has recorded."""
+        item.fence = result.fence
+        if item.may_run_elsewhere:
+            self.fail_rejected(item)
+        elif result.status is not OperationStatus.PERSISTED:
+            self.confirm_rejection(item)
+
+    def on_released(self, item: WorkItem, result: OperationResult) -> None:
+        """Handle the result of a release, for which the item's rejection waits."""
+        if result.status is OperationStatus.PERSISTED:
+            self.confirm_rejection(item)
+        else:
+            self.fail_rejected(item)
+
+    def confirm_rejection(self, item: WorkItem) -> None:
+        """Reject a request whose record is withdrawn."""
+        action = item.pending_rejection
+        if action is not None and not item.is_over:
+            item.exchange.is_recorded = False
+            self.forget(item)
+            self.requests.reject(action)
+
+    def fail_rejected(self, item: WorkItem) -> None:
+        """Fail a request that was to be rejected, as its record may still exist."""
+        if item.pending_rejection is None or item.is_over:
+            return
+        self.counts.unconfirmed += 1
+        self.forget(item)
+        self.requests.fail(FailRequest(item.request_id))
--- a/thistletrail/leasing/model_checking/command.py
+++ b/thistletrail/leasing/model_checking/command.py
@@ -8,7 +8,13 @@
 
 import click
 
-from thistletrail.leasing.model_checking import budget_faults, budgets, work, work_faults
+from thistletrail.leasing.model_checking import (
+    budget_faults,
+    budgets,
+    work,
+    work_faults,
+    work_refusals,
+)
 from thistletrail.leasing.model_checking.budget_faults import BudgetModel
 from thistletrail.leasing.model_checking.search import CheckResult, Walks
 from thistletrail.leasing.model_checking.work_faults import WorkModel
@@ -56,6 +62,7 @@
     results = [
         *check_budgets(gateways, budget_count, depth, walks, seed),
         *check_work(gateways, depth, walks, seed),
+        *check_refusals(depth, walks, seed),
     ]
     sys.exit(EXIT_VIOLATION if any(result.violation for result in results) else 0)
 
@@ -73,6 +80,11 @@
         result = work.check_walks(work_fault, 3, Walks(PLANTED_WORK_WALKS, PLANTED_WORK_WALK_EVENTS, seed))
         click.echo(f"work leases, {work_fault.name}: {describe_finding(result)}")
         results.append(result)
+    for refusal_fault in work_faults.PLANTED_REFUSAL_FAULTS:
+        walks = Walks(PLANTED_WORK_WALKS, PLANTED_WORK_WALK_EVENTS, seed)
+        result = work_refusals.check_refusal_walks(refusal_fault, walks)
+        click.echo(f"refusals, {refusal_fault.name}: {describe_finding(result)}")
+        results.append(result)
     return all(result.violation for result in results)
 
 
@@ -116,6 +128,18 @@
     return results
 
 
+def check_refusals(depth: int, walks: int, seed: int) -> list[CheckResult]:
+    """Check the model of refused requests, print the results, and return them."""
+    result = work_refusals.check_near_refusals(WorkModel, depth)
+    print_result(f"refusals: {result.states} states to depth {result.depth}", result)
+    results = [result]
+    if walks:
+        result = work_refusals.check_refusal_walks(WorkModel, Walks(2 * walks, WORK_WALK_EVENTS, seed))
+        print_result(f"refusals, random walks: {result.states} states", result)
+        results.append(result)
+    return results
+
+
 def check_both_initial_states(
     title: str, empty_state_text: str, check: Callable[[bool], CheckResult]
 ) -> list[CheckResult]:
--- a/thistletrail/leasing/model_checking/work_faults.py
+++ b/thistletrail/leasing/model_checking/work_faults.py
@@ -7,8 +7,15 @@
 
 import msgspec
 
-from thistletrail.leasing.messages import BeginWork, OperationResult, TransferredWork, WorkOperation
-from thistletrail.leasing.work_holder import WorkHolder
+from thistletrail.leasing.messages import (
+    BeginWork,
+    OperationResult,
+    TransferredWork,
+    WorkOperation,
+    WorkRequest,
+    holder_name,
+)
+from thistletrail.leasing.work_holder import AppliedOperation, WorkHolder
 from thistletrail.leasing.work_membership import Member, Membership
 from thistletrail.leasing.work_state import WorkState
 
@@ -24,6 +31,8 @@
         holder_type: The state machine of a gateway.
         begins_before_write: Whether an item is journaled before a gateway writes it to a server.
         persists_before_answer: Whether an outcome is journaled before the client is answered.
+        withdraws_before_refusal: Whether a client is refused only once nothing of its request is recorded.
+        repeats_withdrawn_polls: Whether a gateway withdraws a poll without a result and sends the next one.
     """
 
     name = "as it is"
@@ -31,6 +40,8 @@
     holder_type: type[WorkHolder] = WorkHolder
     begins_before_write = True
     persists_before_answer = True
+    withdraws_before_refusal = True
+    repeats_withdrawn_polls = False
 
 
 class StateWithoutFence(WorkState):
@@ -128,6 +139,70 @@
     state_type = StateHidingLocation
 
 
+class RefusalBeforeWithdrawal(WorkModel):
+    """A client is refused while the record of its request may exist."""
+
+    name = "the refusal before the withdrawal"
+    withdraws_before_refusal = False
+
+
+class HolderForgettingRequests(WorkHolder):
+    """Treats a queued `BeginWork` as never sent, although its earlier request had no response."""
+
+    def requeue_unanswered(self) -> None:
+        """Queue the operations of an unanswered request again, as if they had not been sent."""
+        super().requeue_unanswered()
+        self.unresolved.clear()
+
+
+class RepeatedBeginForgotten(WorkModel):
+    """A client is refused as soon as the repetition of a `BeginWork` is taken from the queue."""
+
+    name = "the refusal before a repeated begin"
+    holder_type = HolderForgettingRequests
+
+
+class MembershipForgettingSerials(Membership):
+    """Accepts a delayed request of a gateway whose lease has ended."""
+
+    def is_stale(self, request: WorkRequest) -> bool:
+        """Return whether a request is stale, as far as the gateways with leases show."""
+        holder = holder_name(request.gateway, request.incarnation)
+        if holder not in self.members:
+            return request.incarnation < self.latest_incarnation_of(request.gateway)
+        return super().is_stale(request)
+
+
+class StateForgettingSerials(WorkState):
+    """Remembers the latest request of a gateway only while its lease lasts."""
+
+    membership_type = MembershipForgettingSerials
+
+
+class DelayedRequestAccepted(WorkModel):
+    """A request that arrives after the end of its gateway's lease is carried out."""
+
+    name = "a delayed request accepted"
+    state_type = StateForgettingSerials
+
+
+class HolderKeepingReleased(WorkHolder):
+    """Adopts the fencing token of an item that it is about to release."""
+
+    def apply_begin_result(self, begin: BeginWork, result: OperationResult) -> AppliedOperation:
+        """Apply the result as if no item were being released."""
+        self.releasing.clear()
+        return super().apply_begin_result(begin, result)
+
+
+class ReleasedItemAdopted(WorkModel):
+    """A gateway that repeats a withdrawn `BeginWork` owns an item that the lease service has dropped."""
+
+    name = "a withdrawn poll and the next one"
+    repeats_withdrawn_polls = True
+    holder_type = HolderKeepingReleased
+
+
 PLANTED_FAULTS: tuple[type[WorkModel], ...] = (
     FenceIgnored,
     LeaseCheckedAfterWrite,
@@ -136,3 +211,9 @@
     WriteBeforeBegin,
     ZoneNotReported,
 )
+PLANTED_REFUSAL_FAULTS: tuple[type[WorkModel], ...] = (
+    RefusalBeforeWithdrawal,
+    RepeatedBeginForgotten,
+    DelayedRequestAccepted,
+    ReleasedItemAdopted,
+)
--- a/thistletrail/leasing/model_checking/work_properties.py
+++ b/thistletrail/leasing/model_checking/work_properties.py
@@ -5,6 +5,7 @@
 - At most one gateway may write an item at any time.
 - The lease service has persisted each outcome that a client has received, so the client would get the same
   outcome from any gateway.
+- No item runs for a request whose client was told that it has no effect.
 """
 
 from __future__ import annotations
@@ -22,7 +23,12 @@
 
 def find_violation(world: WorkWorld) -> str:
     """Return a description of the property that a state violates; empty if all properties hold."""
-    return find_repetition(world) or find_second_writer(world) or find_unpersisted_outcome(world)
+    return (
+        find_repetition(world)
+        or find_second_writer(world)
+        or find_unpersisted_outcome(world)
+        or find_run_of_refused_request(world)
+    )
 
 
 def find_repetition(world: WorkWorld) -> str:
@@ -58,3 +64,11 @@
         if item is None or item.outcome != WorkOutcome.SERVED:
             return f"the {name} item was answered, and its outcome is not persisted"
     return ""
+
+
+def find_run_of_refused_request(world: WorkWorld) -> str:
+    """Return a violation if a request has run whose client was told that it has no effect."""
+    for request_id in world.refused_requests:
+        if request_id in world.executed_requests:
+            return f"the request {request_id} was refused, and has run"
+    return ""
--- a/thistletrail/leasing/model_checking/work_transitions.py
+++ b/thistletrail/leasing/model_checking/work_transitions.py
@@ -242,7 +242,7 @@
     def action(world: WorkWorld, gateway: GatewayProcess, progress: Progress) -> None:
         progress.state = ProgressState.WRITTEN
         progress.never_ran = False
-        world.execution_zones[name] = (*world.execution_zones.get(name, ()), progress.place)
+        world.record_execution(name, progress)
 
     return action
 
--- a/thistletrail/leasing/model_checking/work_world.py
+++ b/thistletrail/leasing/model_checking/work_world.py
@@ -17,6 +17,7 @@
     CompleteWork,
     OperationResult,
     OperationStatus,
+    ReleaseWork,
     WorkEffect,
     WorkOperation,
     WorkRequest,
@@ -24,7 +25,7 @@
 )
 from thistletrail.leasing.model_checking.work_faults import LEASE_MS, WorkModel
 from thistletrail.leasing.work_holder import WorkHolder
-from thistletrail.leasing.work_records import WorkRecord
+from thistletrail.leasing.work_records import WorkBegan, WorkOwned, WorkRecord
 from thistletrail.leasing.work_state import WorkState
 
 START_MS = 100_000
@@ -45,18 +46,31 @@
     WRITTEN = 3
     VALUE_ARRIVED = 4  # the lease service has not persisted the value yet
     VALUE_PERSISTED = 5  # the client may be answered
-    OVER = 6
+    WITHDRAWING = 6  # the client is refused once the lease service has confirmed the withdrawal
+    OVER = 7
 
 
 @dataclass
 class Progress:
-    """A gateway's progress with one item; `never_ran` is True if no attempt of it can have run."""
+    """A gateway's progress with one item.
+
+    Attributes:
+        fence: The fencing token of the item; 0 if the gateway does not own it.
+        place: The zone of the latest attempt.
+        attempt_number: Number of the latest attempt under the fence.
+        state: How far the gateway has got.
+        never_ran: Whether no attempt of the item can have run.
+        begin: The `BeginWork` of the gateway's own client; None if the item was transferred.
+        may_run_elsewhere: Whether another gateway may run the item for the gateway's own client.
+    """
 
     fence: int = 0
     place: str = ""
     attempt_number: int = 0
     state: ProgressState = ProgressState.REPORTED
     never_ran: bool = True
+    begin: BeginWork | None = None
+    may_run_elsewhere: bool = False
 
 
 @dataclass
@@ -83,7 +97,8 @@
         holder.fences = dict(holder.fences)
         holder.queue = list(holder.queue)
         holder.accepted_fences = list(holder.accepted_fences)
-        holder.withdrawn = set(holder.withdrawn)
+        holder.withdrawn = list(holder.withdrawn)
+        holder.unresolved = list(holder.unresolved)
         holder.releasing = set(holder.releasing)
         progress_by_item = {name: copy.copy(progress) for name, progress in self.progress_by_item.items()}
         return GatewayProcess(holder, self.is_alive, progress_by_item)
@@ -102,6 +117,8 @@
         messages: All messages that were sent; each may arrive any number of times.
         execution_zones: The zone of each execution of an item, by the item's name.
         answered_items: The names of the items whose client has received the outcome, sorted.
+        refused_requests: The ids of the requests whose client was told that they have no effect, sorted.
+        executed_requests: The ids of the requests for which an item has run, sorted.
     """
 
     model: type[WorkModel]
@@ -112,6 +129,8 @@
     messages: tuple[WorkRequest | WorkResponse, ...] = ()
     execution_zones: dict[str, tuple[str, ...]] = field(default_factory=dict)
     answered_items: tuple[str, ...] = ()
+    refused_requests: tuple[str, ...] = ()
+    executed_requests: tuple[str, ...] = ()
 
     def copy(self) -> WorkWorld:
         """Return a copy that shares no mutable object."""
@@ -134,6 +153,8 @@
             self.now_ms,
             tuple(sorted(self.execution_zones.items())),
             self.answered_items,
+            self.refused_requests,
+            self.executed_requests,
             frozenset(map(repr, self.messages)),
             repr(sorted(self.service.store.items.items())),
             repr(sorted(membership.members.items())),
@@ -146,6 +167,31 @@
         """Record that a client has received the outcome of an item."""
         self.answered_items = tuple(sorted({*self.answered_items, name}))
 
+    def record_refused(self, request_id: str) -> None:
+        """Record that a client was told that its request has no effect."""
+        self.refused_requests = tuple(sorted({*self.refused_requests, request_id}))
+
+    def record_execution(self, name: str, progress: Progress) -> None:
+        """Record that an item runs in the zone of a gateway's attempt."""
+        self.execution_zones[name] = (*self.execution_zones.get(name, ()), progress.place)
+        request_id = self.request_behind(name, progress.fence)
+        self.executed_requests = tuple(sorted({*self.executed_requests, request_id}))
+
+    def request_behind(self, name: str, fence: int) -> str:
+        """Return the client's request for which an item is owned under a fencing token; empty if none.
+
+        An item that is transferred is still owned for the request of its earlier owner.
+        """
+        request_id = ""
+        for record in self.journal:
+            if record.name != name or not isinstance(record, WorkBegan | WorkOwned):
+                continue
+            is_free = isinstance(record, WorkOwned) and not (record.owner or record.awaits_taker)
+            request_id = "" if is_free else record.request_id or request_id
+            if record.fence == fence:
+                return request_id
+        return ""
+
 
 def copy_service(service: WorkState) -> WorkState:
     """Return a copy of the lease service's state machine."""
@@ -181,21 +227,20 @@
 def request_item(gateway: GatewayProcess, name: str, request_number: int) -> None:
     """Request an item from a gateway, as a client does."""
     place = gateway.zone
-    gateway.progress_by_item[name] = Progress(place=place)
-    gateway.holder.enqueue(
-        BeginWork(
-            name=name,
-            request_id=f"{name}/{request_number}",
-            digest="d",
-            customer="c",
-            effect=EFFECT_BY_ITEM[name],
-            left_ms=REMAINING_MS,
-            window_ms=IDEMPOTENCY_WINDOW_MS,
-            request=b"r",
-            server=f"s-{place}",
-            place=place,
-        )
+    begin = BeginWork(
+        name=name,
+        request_id=f"{name}/{request_number}",
+        digest="d",
+        customer="c",
+        effect=EFFECT_BY_ITEM[name],
+        left_ms=REMAINING_MS,
+        window_ms=IDEMPOTENCY_WINDOW_MS,
+        request=b"r",
+        server=f"s-{place}",
+        place=place,
     )
+    gateway.progress_by_item[name] = Progress(place=place, begin=begin)
+    gateway.holder.enqueue(begin)
 
 
 def serve(world: WorkWorld, request: WorkRequest) -> WorkResponse:
@@ -210,7 +255,13 @@
     applied = gateway.holder.on_response(response, world.now_ms)
     for entry in applied.operations:
         progress = gateway.progress_by_item.get(entry.operation.name)
-        if progress is not None:
+        if progress is None:
+            continue
+        if isinstance(entry.operation, BeginWork):
+            progress.may_run_elsewhere |= entry.may_run_elsewhere
+        if progress.state is ProgressState.WITHDRAWING:
+            apply_withdrawal_result(world, progress, entry.operation, entry.result)
+        elif not entry.is_withdrawn:
             apply_result(world, gateway, progress, entry.operation, entry.result)
     for item in applied.transferred:
         progress = Progress(fence=item.fence, place=item.place or gateway.zone, never_ran=not item.place)
@@ -218,6 +269,24 @@
         report_attempt(gateway, item.name, progress, progress.place, False)
 
 
+def apply_withdrawal_result(
+    world: WorkWorld, progress: Progress, operation: WorkOperation, result: OperationResult
+) -> None:
+    """Apply a result while the client's refusal waits: refuse it, wait on, or answer that it failed."""
+    assert progress.begin is not None
+    is_persisted = result.status is OperationStatus.PERSISTED
+    is_begin = isinstance(operation, BeginWork)
+    is_release = isinstance(operation, ReleaseWork) and operation.fence == progress.fence
+    is_lost = result.status is OperationStatus.LOST or progress.may_run_elsewhere
+    if is_lost and (is_begin or is_release):
+        progress.state = ProgressState.OVER
+    elif is_begin and is_persisted:
+        progress.fence = result.fence
+    elif is_begin or is_release:
+        progress.state = ProgressState.OVER
+        world.record_refused(progress.begin.request_id)
+
+
 def apply_result(
     world: WorkWorld,
     gateway: GatewayProcess,
--- a/thistletrail/leasing/work_holder.py
+++ b/thistletrail/leasing/work_holder.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass
 
+import msgspec
 from msgspec import Struct
 
 from thistletrail.leasing.budget_state import MARGIN_FRACTION
@@ -45,10 +46,32 @@
 
 
 class AppliedOperation(Struct, frozen=True):
-    """An operation and its result."""
+    """An operation and its result.
+
+    Attributes:
+        operation: The operation.
+        result: Its result.
+        is_withdrawn: Whether the gateway has withdrawn it, a `BeginWork`. If it has recorded the item, the
+            holder has queued the item's release.
+        was_repeated: Whether a `BeginWork` was sent before without a response. The item may then have been
+            transferred to another gateway, which runs it for the same request.
+    """
 
     operation: WorkOperation
     result: OperationResult
+    is_withdrawn: bool = False
+    was_repeated: bool = False
+
+    @property
+    def may_run_elsewhere(self) -> bool:
+        """Whether another gateway may run, or have run, the item for the request of a `BeginWork`.
+
+        A stale request, which is answered `LOST`, may have been carried out when it arrived first.
+        """
+        if self.result.status is OperationStatus.LOST:
+            return True
+        is_owned_and_never_ran = self.result.status is OperationStatus.PERSISTED and not self.result.server
+        return self.was_repeated and not is_owned_and_never_ran
 
 
 class AppliedResponse(Struct, frozen=True):
@@ -70,7 +93,8 @@
         self.queue: list[WorkOperation] = []
         self.in_flight: InFlightRequest | None = None
         self.accepted_fences: list[int] = []  # of transferred items that the next request acknowledges
-        self.withdrawn: set[str] = set()  # names whose `BeginWork` was withdrawn while in flight
+        self.withdrawn: list[BeginWork] = []  # withdrawn after they were sent, without a result
+        self.unresolved: list[BeginWork] = []  # queued again after a request without a response
         self.releasing: set[int] = set()  # fences whose `ReleaseWork` has no result
         self.is_draining = False
 
@@ -109,24 +133,56 @@
         """Give up an item without telling the lease service."""
         self.fences.pop(name, None)
 
-    def release(self, name: str, transfer: bool = False, never_ran: bool = False) -> None:
-        """Give up an item and release it at the lease service; with `transfer`, for another gateway."""
+    def release(self, name: str, transfer: bool = False, never_ran: bool = False) -> bool:
+        """Give up an item and release it at the lease service; with `transfer`, for another gateway.
+
+        Without `transfer`, no gateway runs the item for this request once the result is `PERSISTED`. Until
+        then the lease service may transfer it, if this gateway is lost.
+
+        Returns:
+            Whether this gateway owned the item.
+        """
         fence = self.fences.pop(name, 0)
-        if fence:
-            self.queue.append(ReleaseWork(name=name, fence=fence, transfer=transfer, never_ran=never_ran))
-            self.releasing.add(fence)
+        if not fence:
+            return False
+        self.queue_release(ReleaseWork(name=name, fence=fence, transfer=transfer, never_ran=never_ran))
+        return True
 
-    def withdraw(self, name: str) -> None:
-        """Withdraw a `BeginWork`: remove it from the queue, or release its item once the result arrives."""
-        remaining = [
-            operation
-            for operation in self.queue
-            if not (isinstance(operation, BeginWork) and operation.name == name)
-        ]
-        if len(remaining) < len(self.queue):
-            self.queue = remaining
-        else:
-            self.withdrawn.add(name)
+    def queue_release(self, release: ReleaseWork) -> None:
+        """Queue a release, whatever the length of the queue."""
+        self.queue.append(release)
+        self.releasing.add(release.fence)
+
+    def withdraw(self, begin: BeginWork) -> bool:
+        """Withdraw a `BeginWork` that has no result yet.
+
+        One that was never sent is removed from the queue. Any other may be recorded: its item is released
+        once the result arrives. If it is to be sent again, it asks for no time, so that no gateway takes it
+        over if only the repetition records it.
+
+        Returns:
+            Whether it was never sent, so that it is not recorded and never will be.
+        """
+        if begin not in self.queue:
+            self.withdrawn.append(begin)
+            return False
+        position = self.queue.index(begin)
+        if begin not in self.unresolved:
+            del self.queue[position]
+            return not self.was_sent(begin.request_id)
+        repetition = msgspec.structs.replace(begin, left_ms=0)
+        self.queue[position] = repetition
+        self.unresolved[self.unresolved.index(begin)] = repetition
+        self.withdrawn.append(repetition)
+        return False
+
+    def was_sent(self, request_id: str) -> bool:
+        """Return whether a `BeginWork` of this request was sent and has no result yet."""
+        in_flight = [] if self.in_flight is None else self.in_flight.operations
+        return any(
+            isinstance(operation, BeginWork) and operation.request_id == request_id
+            for operation in (*in_flight, *self.withdrawn, *self.unresolved)
+        )
 
     # --- requests ---
 
@@ -159,27 +215,39 @@
 
     def requeue_unanswered(self) -> None:
         """Queue the operations of an unanswered request again; the lease service may have applied some."""
-        if self.in_flight is not None:
-            self.queue = [*self.in_flight.operations, *self.queue]
-            self.in_flight = None
+        if self.in_flight is None:
+            return
+        operations = self.in_flight.operations
+        self.in_flight = None
+        self.unresolved += [
+            operation
+            for operation in operations
+            if isinstance(operation, BeginWork) and operation not in self.unresolved
+        ]
+        self.queue = [*operations, *self.queue]
 
-    def on_not_persisted(self) -> list[BeginWork]:
+    def on_not_persisted(self) -> list[AppliedOperation]:
         """Handle that the lease service could not persist the request in flight.
 
-        Its operations are queued again, except `BeginWork`.
+        Its operations are queued again, except each `BeginWork` that was sent for the first time: its item is
+        not recorded.
 
         Returns:
-            The `BeginWork` operations, whose items are not recorded.
+            These `BeginWork` operations, each with the result `FULL`.
         """
         if self.in_flight is None:
             return []
         operations = self.in_flight.operations
         self.in_flight = None
-        begins = [operation for operation in operations if isinstance(operation, BeginWork)]
-        self.withdrawn -= {operation.name for operation in begins}
-        others = [operation for operation in operations if not isinstance(operation, BeginWork)]
-        self.queue = [*others, *self.queue]
-        return begins
+        unrecorded = [
+            operation
+            for operation in operations
+            if isinstance(operation, BeginWork) and operation not in self.unresolved
+        ]
+        self.queue = [*(operation for operation in operations if operation not in unrecorded), *self.queue]
+        return [
+            self.apply_result(begin, OperationResult(status=OperationStatus.FULL)) for begin in unrecorded
+        ]
 
     def lease_end_ms(self, sent_ms: int, lease_ms: int) -> int:
         """Return when this gateway gives up a lease that began at `sent_ms`: both margins before its end."""
@@ -219,15 +287,22 @@
         A repeated `BeginWork` may be answered with the fence of an item whose release is on its way. The
         lease service drops that item, so the request has to ask again, as if another gateway owned it.
         """
-        if result.status is OperationStatus.PERSISTED:
-            if result.fence in self.releasing:
-                result = OperationResult(status=OperationStatus.ELSEWHERE)
-            else:
-                self.fences[begin.name] = result.fence
-        if begin.name in self.withdrawn:
-            self.withdrawn.discard(begin.name)
-            self.release(begin.name, never_ran=not result.server)
-        return AppliedOperation(begin, result)
+        was_repeated = begin in self.unresolved
+        if was_repeated:
+            self.unresolved.remove(begin)
+        is_withdrawn = begin in self.withdrawn
+        if is_withdrawn:
+            self.withdrawn.remove(begin)
+        if result.status is not OperationStatus.PERSISTED:
+            return AppliedOperation(begin, result, is_withdrawn, was_repeated)
+        if is_withdrawn:
+            self.queue_release(ReleaseWork(name=begin.name, fence=result.fence, never_ran=not result.server))
+        elif result.fence in self.releasing:
+            result = OperationResult(status=OperationStatus.ELSEWHERE)
+            was_repeated = True
+        else:
+            self.fences[begin.name] = result.fence
+        return AppliedOperation(begin, result, is_withdrawn, was_repeated)
 
 
 def payload_bytes(operation: WorkOperation) -> int:
