Pause between calls to a lease service that cannot persist them

Cause: operations that could not be persisted are queued again, and a call follows at once while any is queued: a full disk at the lease service had each gateway call it without a pause. Found by reading. The gateway now waits for the next renewal or the next new operation, so that a new request still learns at once that it is not recorded.

test_operations_that_cannot_be_stored_wait_for_the_next_call fails without the change.

--- a/tests/test_takeover_refusals.py
+++ b/tests/test_takeover_refusals.py
@@ -298,6 +298,19 @@
     assert not reply.answers and len(gateway.queued(BeginWork)) == 1
 
 
+@scenario
+async def test_operations_that_cannot_be_stored_wait_for_the_next_call(gateway: LeasedGateway) -> None:
+    # Guards against calls without a pause while the lease service's disk is full.
+    client = gateway.leases.client
+    gateway.holder.enqueue(ReleaseWork(name="x", fence=1))
+    client.is_unreachable, client.is_storage_full = False, True
+    waiting = asyncio.get_running_loop().create_task(client.wait_for_next_call())
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    client.wake()
+    await waiting
+
+
 @scenario
 async def test_request_that_finds_the_queue_full_leaves_no_record(gateway: LeasedGateway) -> None:
     # Guards against a request in doubt whose record never left the gateway.
--- a/thistletrail/gateway/takeover/client.py
+++ b/thistletrail/gateway/takeover/client.py
@@ -59,6 +59,7 @@
         self.stream: WorkStream | None = None
         self.address_index = 0
         self.is_unreachable = True  # until the first response
+        self.is_storage_full = False  # whether the lease service could not persist the last call
         self.wakeup = asyncio.Event()
 
     async def run(self) -> None:
@@ -72,10 +73,13 @@
             self.close()
 
     async def wait_for_next_call(self) -> None:
-        """Wait until the next renewal is due, or operations are queued while the service is reachable."""
+        """Wait until the next renewal is due, or operations are queued while the service is reachable.
+
+        Operations that the service could not persist are sent again with the next renewal or new operation.
+        """
         if self.is_unreachable:
             await asyncio.sleep(MAX_RENEWAL_INTERVAL_S * self.rng.uniform(*RECONNECT_JITTER))
-        elif not self.holder.queue:
+        elif self.is_storage_full or not self.holder.queue:
             wait_s = MAX_RENEWAL_INTERVAL_S * self.rng.uniform(*RENEWAL_JITTER)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.wakeup.wait(), wait_s)
@@ -87,6 +91,7 @@
             response = await self.send_request()
         except ServiceFullError as error:
             log.warning("the lease service does not record work: %s", error)
+            self.is_storage_full = True
             self.listener.on_batch_not_persisted(self.holder.on_not_persisted())
             return
         except LeaseServiceUnavailableError as error:
@@ -97,6 +102,7 @@
         if self.is_unreachable:
             log.info("work is recorded by the lease service at %s:%d", host, port)
         self.is_unreachable = False
+        self.is_storage_full = False
         self.listener.on_response(response)
 
     async def send_request(self) -> WorkResponse:
