Fail a request whose work goes on elsewhere at the end of a drain, and refuse only what has not run

Cause: the release for transfer at the end of a drain rejected the request. Work that may have run is now transferred and its client gets -ERR failed; work that has not run is withdrawn, and refused once that is confirmed.

Two tests of test_takeover_refusals.py fail without the change; the model checker finds it planted.

--- a/tests/test_takeover_refusals.py
+++ b/tests/test_takeover_refusals.py
@@ -33,7 +33,7 @@
 from thistletrail.leasing.work_holder import MAX_QUEUED_OPERATIONS, WorkHolder
 from thistletrail.leasing.work_state import LOST, WorkState
 from thistletrail.policy.actions import RejectRequest, StartAttempt
-from thistletrail.policy.events import AttemptEnded, AttemptResult, Server, ServerState
+from thistletrail.policy.events import AttemptEnded, AttemptResult, ClientDisconnected, Server, ServerState
 
 BUSY, FAILED = b"-BUSY 500\r\n", b"-ERR failed\r\n"
 # Long enough that no lease ends while a test runs, and shorter than the window of a key.
@@ -526,7 +526,29 @@
     assert gateway.service.store.items[item.name].fence == gateway.holder.fences[item.name]
 
 
-# --- transferred work ---
+# --- shutdown, and transferred work ---
+
+
+@scenario
+async def test_work_that_runs_at_the_end_of_a_drain_fails_and_is_transferred(gateway: LeasedGateway) -> None:
+    # Guards against BUSY for work that another gateway continues.
+    reply = gateway.open("a1")
+    gateway.exchange()
+    gateway.leases.release_unfinished()
+    assert reply.answers == [FAILED] and gateway.events_of(ClientDisconnected)
+    gateway.exchange()
+    assert [item.name for item in gateway.transferred_to_other()]
+
+
+@scenario
+async def test_work_that_never_ran_is_rejected_at_the_end_of_a_drain(gateway: LeasedGateway) -> None:
+    # Guards against BUSY for work that another gateway continues, and a failure where BUSY is true.
+    reply = open_recorded(gateway)
+    gateway.leases.release_unfinished()
+    assert not reply.answers and gateway.events_of(ClientDisconnected)
+    gateway.exchange()
+    assert reply.answers == [BUSY.replace(b"500", b"1000")] and not gateway.transferred_to_other()
+    assert not gateway.service.store.items
 
 
 @scenario
--- a/thistletrail/gateway/exchanges.py
+++ b/thistletrail/gateway/exchanges.py
@@ -331,6 +331,11 @@
             self.fail(FailRequest(request_id))
             self.post_disconnected(request_id, exchange)
 
+    def drop_from_policy(self, request_id: str) -> None:
+        """Have the policy drop a request that it has not ended, and that is answered separately."""
+        if exchange := self.unanswered.get(request_id):
+            self.post_disconnected(request_id, exchange)
+
     def reject(self, action: RejectRequest) -> None:
         """Answer BUSY, with the time in milliseconds after which the client may retry.
 
--- a/thistletrail/gateway/takeover/host.py
+++ b/thistletrail/gateway/takeover/host.py
@@ -50,5 +50,8 @@
     def fail(self, action: FailRequest) -> None:
         """Answer that a request failed."""
 
+    def drop_from_policy(self, request_id: str) -> None:
+        """Have the policy drop a request that it has not ended."""
+
     def fail_after_fault(self, request_id: str) -> None:
         """Fail a request that the policy has not ended, and have the policy drop it."""
--- a/thistletrail/gateway/takeover/work_table.py
+++ b/thistletrail/gateway/takeover/work_table.py
@@ -14,7 +14,7 @@
 from thistletrail.leasing.framing import now_ms
 from thistletrail.leasing.messages import WORK_LEASE_MS, BeginWork, OperationResult, OperationStatus
 from thistletrail.policy.actions import FailRequest, RejectRequest
-from thistletrail.policy.events import AttemptEnded, AttemptResult, ClientDisconnected
+from thistletrail.policy.events import AttemptEnded, AttemptResult
 
 log = logging.getLogger(__name__)
 
@@ -136,12 +136,25 @@
         self.forget(item)
 
     def release_unfinished(self) -> None:
-        """Release all work without an outcome, so that other gateways continue it."""
+        """Release all work without an outcome at the end of a drain."""
         for item in list(self.by_request_id.values()):
             if item.pending_response is None and item.pending_rejection is None and self.is_leased(item):
-                self.release_for_transfer(item)
-                self.requests.reject(RejectRequest(item.request_id, RETRY_AFTER_US))
-                self.events.post(ClientDisconnected(item.request_id))
+                self.release_at_drain_end(item)
+
+    def release_at_drain_end(self, item: WorkItem) -> None:
+        """Release unfinished work, and end its request, which the policy has not ended.
+
+        Another gateway continues work that may have run, or that a client no longer waits for here. The
+        request of such work fails, as a rejection would promise that it has no effect. The request of any
+        other work is rejected.
+        """
+        if item.has_never_run and not item.is_transferred:
+            self.withdraw_attempt(item)
+            self.requests.drop_from_policy(item.request_id)
+            self.reject(item)
+        else:
+            self.release_for_transfer(item)
+            self.requests.fail_after_fault(item.request_id)
 
     def release_for_transfer(self, item: WorkItem) -> None:
         """Release work so that another gateway continues it."""
--- a/thistletrail/leasing/model_checking/work_faults.py
+++ b/thistletrail/leasing/model_checking/work_faults.py
@@ -32,6 +32,8 @@
         begins_before_write: Whether an item is journaled before a gateway writes it to a server.
         persists_before_answer: Whether an outcome is journaled before the client is answered.
         withdraws_before_refusal: Whether a client is refused only once nothing of its request is recorded.
+        fails_transferred_requests: Whether the client of an item that a draining gateway transfers is
+            answered that its request failed, and not that it has no effect.
         repeats_withdrawn_polls: Whether a gateway withdraws a poll without a result and sends the next one.
     """
 
@@ -41,6 +43,7 @@
     begins_before_write = True
     persists_before_answer = True
     withdraws_before_refusal = True
+    fails_transferred_requests = True
     repeats_withdrawn_polls = False
 
 
@@ -146,6 +149,13 @@
     withdraws_before_refusal = False
 
 
+class RefusalOfTransferredWork(WorkModel):
+    """A draining gateway refuses the client of an item that it transfers."""
+
+    name = "the refusal of transferred work"
+    fails_transferred_requests = False
+
+
 class HolderForgettingRequests(WorkHolder):
     """Treats a queued `BeginWork` as never sent, although its earlier request had no response."""
 
@@ -213,6 +223,7 @@
 )
 PLANTED_REFUSAL_FAULTS: tuple[type[WorkModel], ...] = (
     RefusalBeforeWithdrawal,
+    RefusalOfTransferredWork,
     RepeatedBeginForgotten,
     DelayedRequestAccepted,
     ReleasedItemAdopted,
--- a/thistletrail/leasing/model_checking/work_transitions.py
+++ b/thistletrail/leasing/model_checking/work_transitions.py
@@ -288,6 +288,8 @@
     def action(world: WorkWorld, gateway: GatewayProcess, progress: Progress) -> None:
         progress.state = ProgressState.OVER
         gateway.holder.release(name, transfer=True, never_ran=True)
+        if progress.begin is not None and not world.model.fails_transferred_requests:
+            world.record_refused(progress.begin.request_id)
 
     return action
 
