Give the first change after a start of the registry a generation above every earlier one

It does: it continued at the generation of the copy, and a reader that had seen other changes under the next numbers was told that it lacks nothing. Its list then misses new servers and drains.

The first change after each start has a generation above the wall clock's, as a new history has. A restart alone changes no generation, so that readers resume without a complete list.

--- a/thistletrail/registry/journal.py
+++ b/thistletrail/registry/journal.py
@@ -115,7 +115,7 @@
         """
         self._directory.mkdir(parents=True, exist_ok=True)
         self._remove_incomplete_snapshot()
-        store = self._restore(now_ms) or Store(unix_ms, now_ms, log.warning)
+        store = self._restore(unix_ms, now_ms) or Store(unix_ms, now_ms, log.warning)
         self._replay(store)
         if not self._snapshot_path.exists():
             # Persists the start of the new history, so that the registry resumes it after a crash.
@@ -128,7 +128,7 @@
     def _remove_incomplete_snapshot(self) -> None:
         self._snapshot_path.with_name(SNAPSHOT_FILE_NAME + TEMPORARY_SUFFIX).unlink(missing_ok=True)
 
-    def _restore(self, now_ms: int) -> Store | None:
+    def _restore(self, unix_ms: int, now_ms: int) -> Store | None:
         if not self._snapshot_path.exists():
             journal_path = self.records.path
             if journal_path.exists() and journal_path.stat().st_size:
@@ -140,7 +140,7 @@
             raise CorruptFileError(
                 f"{self._snapshot_path} is not a snapshot of the registry: {error}"
             ) from error
-        return Store.restore(snapshot, now_ms, log.warning)
+        return Store.restore(snapshot, unix_ms, now_ms, log.warning)
 
     def _replay(self, store: Store) -> None:
         """Apply the changes of the journal that the snapshot does not contain."""
--- a/thistletrail/registry/store.py
+++ b/thistletrail/registry/store.py
@@ -17,10 +17,11 @@
 from thistletrail.registry.watch_update import WatchUpdate, update_since
 
 GENERATIONS_PER_MS = 1024
-"""A new history begins at the generation that is the Unix time in milliseconds times this factor.
+"""The changes of a process have generations above the Unix time of its start in ms times this factor.
 
-A history that begins after the loss of all data therefore starts above the earlier one, unless that one had
-more than this many changes per millisecond. Generations stay below `MAX_GENERATION` until the year 2248.
+They are therefore above those of every earlier process, also if all data was lost or restored from an older
+copy, unless there were more than this many changes per millisecond. Generations stay below `MAX_GENERATION`
+until the year 2248.
 """
 
 MASS_EXPIRY_SHARE = 0.3
@@ -70,7 +71,9 @@
 
     def __init__(self, unix_ms: int, now_ms: int, warn: WarningSink = discard_warning) -> None:
         """Begin a new history with generations above those of any earlier one; `warn` receives log texts."""
-        self.generation = min(unix_ms * GENERATIONS_PER_MS, MAX_GENERATION - 1)
+        self.start_generation = min(unix_ms * GENERATIONS_PER_MS, MAX_GENERATION - 1)
+        """Each new change has a higher generation than this."""
+        self.generation = self.start_generation
         self.floor = self.generation
         """The generation before the oldest change in `history`."""
         self.history: deque[Instance] = deque()
@@ -89,9 +92,11 @@
         self._warn = warn
 
     @classmethod
-    def restore(cls, snapshot: StoreSnapshot, now_ms: int, warn: WarningSink = discard_warning) -> Self:
+    def restore(
+        cls, snapshot: StoreSnapshot, unix_ms: int, now_ms: int, warn: WarningSink = discard_warning
+    ) -> Self:
         """Return a store with the instances of a snapshot and a history that begins at its generation."""
-        store = cls(0, now_ms, warn)
+        store = cls(unix_ms, now_ms, warn)
         store.generation = snapshot.generation
         store.floor = snapshot.generation
         for instance in snapshot.instances:
@@ -167,11 +172,12 @@
 
     def _commit(self, instances: Sequence[Instance]) -> list[Instance]:
         """Assign the next generations, then persist and apply the changes, all or none; return them."""
-        if self.generation + len(instances) > MAX_GENERATION:
+        last_generation = max(self.generation, self.start_generation)
+        if last_generation + len(instances) > MAX_GENERATION:
             raise RejectedError("the generations of this history are used up")
         changes = [
             replace(instance, generation=generation)
-            for generation, instance in enumerate(instances, self.generation + 1)
+            for generation, instance in enumerate(instances, last_generation + 1)
         ]
         self.persist(changes)
         for change in changes:
