Write a long line of a watch in pieces, so that a slow reader does not hold a whole list

It does, as far as the kernel does not take it. A line is now written in pieces of 32 KiB, each once the buffer has room; each piece has the time limit that the line had.

The new test fails without the change: 478,606 bytes in the buffer, 131,072 allowed.

--- a/tests/test_registry_http_service.py
+++ b/tests/test_registry_http_service.py
@@ -229,6 +229,41 @@
     run_scenario(tmp_path, scenario, send_buffer_bytes=65_536)
 
 
+def test_a_reader_that_accepts_no_data_does_not_hold_the_whole_list_in_memory(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a registry whose memory grows by a whole list for each slow watcher.
+    transports: list[asyncio.WriteTransport] = []
+    watch = RegistryService._watch
+
+    async def note_transport(
+        service: RegistryService, request: web.Request, after: int | None
+    ) -> web.StreamResponse:
+        transports.append(request.transport)
+        return await watch(service, request, after)
+
+    monkeypatch.setattr(RegistryService, "_watch", note_transport)
+
+    async def scenario(client: Client) -> None:
+        store = client.service.store
+        await client.put("s-0", 5000)
+        template = store.get("s-0")
+        store.persist = lambda changes: None  # 4,000 writes to the disk take seconds
+        for number in range(4000):
+            store.register(replace(template, id=f"s-{number}", address=f"127.0.0.1:{5000 + number}"), 0)
+        host, port = client.url.removeprefix("http://").split(":")
+        with socket.socket() as reader:
+            reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            reader.connect((host, int(port)))
+            reader.sendall(f"GET {READ_PATH}?watch=1&after=1 HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            while not transports or not transports[0].get_write_buffer_size():
+                await asyncio.sleep(0.01)
+            assert len(client.service._encoded_update(None)) > 16 * http_service.WATCHER_BUFFER_BYTES
+            assert transports[0].get_write_buffer_size() <= 4 * http_service.WATCHER_BUFFER_BYTES
+
+    run_scenario(tmp_path, scenario, send_buffer_bytes=65_536)
+
+
 def test_with_a_full_disk_writes_are_rejected_and_reads_continue(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/thistletrail/registry/http_service.py
+++ b/thistletrail/registry/http_service.py
@@ -59,7 +59,7 @@
 """A watch is closed if its reader accepts no data for this long."""
 
 WATCHER_BUFFER_BYTES = 32_768
-"""Size of the write buffer of one watcher; writes to a full one wait."""
+"""Size of the write buffer of one watcher; writes to a full one wait. A longer line is written in pieces."""
 
 MAX_ENCODED_UPDATES = 64
 """Size of the cache of encoded updates; watchers that keep up are at one of the last two generations."""
@@ -72,6 +72,17 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
+async def _write_line(response: web.StreamResponse, line: bytes) -> None:
+    """Write a line of a watch in pieces, so that a slow reader's part of it is not buffered at once.
+
+    Raises `TimeoutError` if the reader accepts no piece for `WATCHER_WRITE_TIMEOUT_S`, and `ConnectionError`
+    if it has disconnected.
+    """
+    for start in range(0, len(line), WATCHER_BUFFER_BYTES):
+        piece = line[start : start + WATCHER_BUFFER_BYTES]
+        await asyncio.wait_for(response.write(piece), WATCHER_WRITE_TIMEOUT_S)
+
+
 def monotonic_ms() -> int:
     """Return the time of the monotonic clock in milliseconds."""
     return time.monotonic_ns() // NANOSECONDS_PER_MS
@@ -246,7 +257,7 @@
                 line = self._encoded_update(after)
                 after = self.view.generation
                 is_first = False
-                await asyncio.wait_for(response.write(line), WATCHER_WRITE_TIMEOUT_S)
+                await _write_line(response, line)
                 # The list may have changed while the line was being sent.
                 continue
             try:
