Note each attempt that may have run, so that a later one which was not sent does not hide it

Cause: whether a request may have run here was one flag, which any attempt that surely had not run cleared. The next record or the release then told the lease service that the work never ran, and it forgot the zone. The numbers of the attempts that may have run are noted instead.

--- a/tests/test_takeover_refusals.py
+++ b/tests/test_takeover_refusals.py
@@ -23,6 +23,7 @@
 from thistletrail.gateway.takeover import TakeoverCoordinator, work_table
 from thistletrail.leasing.framing import now_ms
 from thistletrail.leasing.messages import (
+    AttemptWork,
     BeginWork,
     ReleaseWork,
     TransferredWork,
@@ -32,7 +33,7 @@
 )
 from thistletrail.leasing.work_holder import MAX_QUEUED_OPERATIONS, WorkHolder
 from thistletrail.leasing.work_state import LOST, WorkState
-from thistletrail.policy.actions import RejectRequest, StartAttempt
+from thistletrail.policy.actions import FailRequest, RejectRequest, StartAttempt
 from thistletrail.policy.events import AttemptEnded, AttemptResult, ClientDisconnected, Server, ServerState
 
 BUSY, FAILED = b"-BUSY 500\r\n", b"-ERR failed\r\n"
@@ -454,6 +455,41 @@
         gateway.open("a1")
 
 
+# --- where a request may have run ---
+
+
+@pytest.mark.parametrize("result", [AttemptResult.RESET, AttemptResult.TIMEOUT])
+def test_attempt_that_was_not_sent_does_not_hide_an_earlier_one_that_may_have_run(
+    result: AttemptResult,
+) -> None:
+    # Guards against review/3: the zone of the earlier attempt is forgotten, and the key runs in both zones.
+    async def run() -> None:
+        gateway = LeasedGateway()
+        reply = gateway.open("a1")
+        gateway.exchange()
+        gateway.attempts[0].finish(result)
+        gateway.start_attempt("a1", "s0")
+        assert [operation.earlier_never_ran for operation in gateway.queued(AttemptWork)] == [False]
+        gateway.exchange()
+        gateway.attempts[1].finish(AttemptResult.CONNECT_FAILED)
+        gateway.start_attempt("a1", "s0")
+        assert [operation.earlier_never_ran for operation in gateway.queued(AttemptWork)] == [False]
+        gateway.exchanges.fail(FailRequest("a1"))
+        gateway.exchange()
+        assert reply.answers == [FAILED]
+        assert gateway.service.store.items[WORK_NAME].last_run.place == "zone 0"
+
+    run_scenario(run())
+
+
+@scenario
+async def test_request_whose_attempts_were_all_turned_away_has_not_run(gateway: LeasedGateway) -> None:
+    # Guards against a zone that binds a request which ran nowhere.
+    open_recorded(gateway)
+    gateway.start_attempt("a1", "s1")
+    assert [operation.earlier_never_ran for operation in gateway.queued(AttemptWork)] == [True]
+
+
 # --- requests that wait for another owner ---
 
 
--- a/thistletrail/gateway/exchange.py
+++ b/thistletrail/gateway/exchange.py
@@ -54,8 +54,8 @@
         Returns False if the request is not recorded and the caller has to answer it.
         """
 
-    def on_attempt_ended(self, request_id: str, result: AttemptResult, has_others: bool) -> None:
-        """Handle the end of an attempt; `has_others` tells whether its request has others in flight."""
+    def on_attempt_ended(self, request_id: str, number: int, result: AttemptResult) -> None:
+        """Handle the end of an attempt, given by its request and number."""
 
     def withdraw_rejected(self, action: RejectRequest) -> bool:
         """Withdraw the record of a rejected request, then reject it, or fail it if that is not confirmed.
--- a/thistletrail/gateway/exchanges.py
+++ b/thistletrail/gateway/exchanges.py
@@ -279,11 +279,10 @@
     ) -> None:
         """Remove an ended attempt from the attempts in flight."""
         exchange.in_flight.pop(attempt.number, None)
-        has_others = bool(exchange.in_flight)
-        if is_over and not has_others:
+        if is_over and not exchange.in_flight:
             self.answered_in_flight.pop(attempt.request_id, None)
         if self.work_leases:
-            self.work_leases.on_attempt_ended(attempt.request_id, result, has_others)
+            self.work_leases.on_attempt_ended(attempt.request_id, attempt.number, result)
 
     # --- end ---
 
--- a/thistletrail/gateway/takeover/coordinator.py
+++ b/thistletrail/gateway/takeover/coordinator.py
@@ -332,18 +332,14 @@
         attempt = item.pending_attempt
         item.pending_attempt = None
         if attempt is not None and not attempt.is_over:
-            item.may_have_run_here = True  # until its result proves otherwise
+            item.attempts_that_may_have_run.add(attempt.number)  # until its result proves otherwise
             self.attempts.send(attempt, attempt.end_us - now_us())
 
-    def on_attempt_ended(self, request_id: str, result: AttemptResult, has_others: bool) -> None:
-        """Note that a request has not run here, if an attempt has ended that certainly did not run.
-
-        `has_others` means that the request has other attempts in flight, which may run. Attempts that ended
-        earlier are not considered.
-        """
+    def on_attempt_ended(self, request_id: str, number: int, result: AttemptResult) -> None:
+        """Note the end of an attempt that certainly did not run; others of its request may have run."""
         item = self.table.by_request_id.get(request_id)
         if item is not None and result in PROVEN_NOT_RUN_RESULTS:
-            item.may_have_run_here = has_others
+            item.attempts_that_may_have_run.discard(number)
 
     # --- outcomes ---
 
--- a/thistletrail/gateway/takeover/work_item.py
+++ b/thistletrail/gateway/takeover/work_item.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from thistletrail.gateway.backends import Attempt
 from thistletrail.gateway.exchange import Exchange
@@ -37,7 +37,8 @@
         fence: Fencing token; 0 if the work is not leased.
         attempt_number: Number of the last attempt that was recorded under this fence.
         may_have_run_before: Whether an attempt may have run under an earlier fence.
-        may_have_run_here: Whether an attempt of this request at this gateway may have run.
+        attempts_that_may_have_run: Numbers of this request's attempts at this gateway that were passed on
+            and of which no result proves that they did not run.
         may_run_elsewhere: Whether another gateway may run the work, or may have run it, for this request.
         wait_until_ms: When the wait for another owner's outcome ends; 0 if the request does not wait.
     """
@@ -50,7 +51,7 @@
     fence: int = 0
     attempt_number: int = 0
     may_have_run_before: bool = False
-    may_have_run_here: bool = False
+    attempts_that_may_have_run: set[int] = field(default_factory=set)
     may_run_elsewhere: bool = False
     pending_attempt: Attempt | None = None
     pending_response: bytes | None = None
@@ -73,7 +74,7 @@
     @property
     def has_never_run(self) -> bool:
         """Whether no attempt is known that may have run, here or under an earlier fence."""
-        return not (self.may_have_run_here or self.may_have_run_before)
+        return not (self.attempts_that_may_have_run or self.may_have_run_before)
 
     def start_timer(self, delay_s: float, callback: Callable[..., None], *arguments: object) -> None:
         """Call `callback` after `delay_s`; replaces an earlier timer."""
