Use a connection again 10 ms after an answer, as a second copy may come some milliseconds late

Cause: a connection was used again after 5 ms, and a later copy passed for the answer to the next command. Nothing in the protocol tells a copy from the next answer.

The new test fails without the change.

--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -87,6 +87,26 @@
     run_scenario(scenario())
 
 
+def test_connection_whose_answer_a_late_copy_may_follow_is_not_reused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against review/2: a second copy of an answer, up to 8 ms late, answers the next request.
+    clock_us = [1_000_000]
+    monkeypatch.setattr(backends, "now_us", lambda: clock_us[0])
+
+    async def scenario() -> None:
+        scan_server = StubScanServer()
+        sender = Sender(await scan_server.start())
+        for idle_us, opened in ((0, 1), (8_000, 2), (10_000, 2)):
+            clock_us[0] += idle_us
+            sender.send()
+            assert await sender.result() is AttemptResult.SUCCESS
+            assert scan_server.opened_connections == opened
+        sender.backends.close()
+
+    run_scenario(scenario())
+
+
 def test_cancelled_attempt_closes_its_connection() -> None:
     async def scenario() -> None:
         scan_server = StubScanServer(lambda arguments: None)
--- a/thistletrail/gateway/backends.py
+++ b/thistletrail/gateway/backends.py
@@ -20,8 +20,9 @@
 # Idle connections are closed after this fraction of the server's own idle timeout: a request that crosses the
 # server's close would end as a reset.
 IDLE_TIMEOUT_FRACTION = 0.5
-# How long a connection stays unused after an answer: unexpected bytes behind the answer arrive by then.
-REUSE_DELAY_US = 5_000
+# How long a connection stays unused after an answer: a second copy of the answer, which may come some
+# milliseconds late, arrives by then.
+REUSE_DELAY_US = 10_000
 
 NEVER = 1 << 62  # a time in microseconds that is never reached
 MIN_REMAINING_US = 1_000  # the smallest time that `d` can express; with less, nothing is written
