Name what a client connection needs of all connections, in place of an import cycle

Need: clients.py and client_connection.py imported each other since they were split, if only for types. The connection now states what it uses as a protocol. No behaviour changes; mypy checks it.

--- a/thistletrail/gateway/client_connection.py
+++ b/thistletrail/gateway/client_connection.py
@@ -6,16 +6,14 @@
 import logging
 from collections.abc import Callable
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from thistletrail.gateway.backends import NEVER, now_us
 from thistletrail.gateway.command_parser import CommandError, TooManyRequestsError
+from thistletrail.gateway.cost_counters import CostCounters
 from thistletrail.gateway.deadline import MIN_LATE_US, Deadline, estimate_unread_us
 from thistletrail.gateway.resp import CommandReader, ProtocolError, has_ended, has_unread
 
-if TYPE_CHECKING:
-    from thistletrail.gateway.clients import Clients
-
 log = logging.getLogger(__name__)
 
 MAX_PIPELINED = 16  # requests in flight on a connection; further commands stay unread
@@ -92,6 +90,34 @@
 }
 
 
+class ConnectionOwner(Protocol):
+    """All client connections, as one of them uses them."""
+
+    loop: asyncio.AbstractEventLoop
+    costs: CostCounters
+    read_buffer: memoryview  # shared by all connections
+    on_command: Callable[[list[bytes], Reply], None]  # raises CommandError for an invalid command
+    on_disconnected: Callable[[Reply], None]
+
+    def on_connected(self, connection: ClientConnection) -> None:
+        """Handle a connection that has been set up."""
+
+    def on_state_changed(self, connection: ClientConnection) -> None:
+        """Handle a connection that has entered another state."""
+
+    def on_closed(self, connection: ClientConnection) -> None:
+        """Handle a connection whose socket is closed."""
+
+    def count_partial_command(self, connection: ClientConnection) -> None:
+        """Count the bytes in a connection's reader."""
+
+    def limit_partial_commands(self, connection: ClientConnection) -> None:
+        """Give up the largest incomplete commands beyond the byte limit, after a read on `connection`."""
+
+    def loop_late_us(self, now: int) -> int:
+        """Return how late the event loop is at `now`."""
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection, on which answers are sent in the order of the commands."""
 
@@ -119,7 +145,7 @@
         "transport",
     )
 
-    def __init__(self, clients: Clients) -> None:
+    def __init__(self, clients: ConnectionOwner) -> None:
         self.clients = clients
         self.reader = CommandReader()
         self.partial_command_bytes = 0  # its part of the sum over all connections
