--- a/thistletrail/leasing/model_checking/work_faults.py
+++ b/thistletrail/leasing/model_checking/work_faults.py
@@ -34,6 +34,7 @@
         withdraws_before_refusal: Whether a client is refused only once nothing of its request is recorded.
         fails_transferred_requests: Whether the client of an item that a draining gateway transfers is
             answered that its request failed, and not that it has no effect.
+        forgets_earlier_attempts: Whether an attempt that could not connect counts as the only one.
         repeats_withdrawn_polls: Whether a gateway withdraws a poll without a result and sends the next one.
     """
 
@@ -44,6 +45,7 @@
     persists_before_answer = True
     withdraws_before_refusal = True
     fails_transferred_requests = True
+    forgets_earlier_attempts = False
     repeats_withdrawn_polls = False
 
 
@@ -142,6 +144,13 @@
     state_type = StateHidingLocation
 
 
+class EarlierAttemptForgotten(WorkModel):
+    """A gateway reports that an item never ran after an attempt of several that could not connect."""
+
+    name = "an earlier attempt forgotten"
+    forgets_earlier_attempts = True
+
+
 class RefusalBeforeWithdrawal(WorkModel):
     """A client is refused while the record of its request may exist."""
 
@@ -220,6 +229,7 @@
     OutcomePersistedAfterAnswer,
     WriteBeforeBegin,
     ZoneNotReported,
+    EarlierAttemptForgotten,
 )
 PLANTED_REFUSAL_FAULTS: tuple[type[WorkModel], ...] = (
     RefusalBeforeWithdrawal,
--- a/thistletrail/leasing/model_checking/work_transitions.py
+++ b/thistletrail/leasing/model_checking/work_transitions.py
@@ -16,6 +16,7 @@
 from thistletrail.leasing.model_checking.work_world import (
     EFFECT_BY_ITEM,
     FIRST_FENCE,
+    KEYED_ITEM,
     ZONES,
     GatewayProcess,
     Progress,
@@ -113,6 +114,8 @@
     if progress.state is ProgressState.WRITTEN and is_owned:
         yield make_item_transition(f"gets the answer to the {name} item", receive_value_action(name))
         yield make_item_transition(f"gives up on the {name} item", give_up_action(name))
+    if progress.state is ProgressState.WRITTEN and is_owned and name == KEYED_ITEM:
+        yield make_item_transition(f"tries the {name} item once more", retry_action(name))
     if progress.state is ProgressState.CONFIRMED and is_owned and progress.never_ran:
         yield make_item_transition(f"drains, and transfers the {name} item", transfer_action(name))
     if progress.state is ProgressState.VALUE_PERSISTED and (
@@ -254,6 +257,7 @@
     """
 
     def action(world: WorkWorld, gateway: GatewayProcess, progress: Progress) -> None:
+        progress.never_ran |= world.model.forgets_earlier_attempts
         other = next(zone for zone in ZONES if zone != progress.place)
         place = other if progress.never_ran else progress.place
         report_attempt(gateway, name, progress, place, progress.never_ran)
@@ -272,6 +276,19 @@
     return action
 
 
+def retry_action(name: str) -> ProgressAction:
+    """Return the action by which a gateway whose connection was reset records a further attempt.
+
+    One event stands for the report and its confirmation.
+    """
+
+    def action(world: WorkWorld, gateway: GatewayProcess, progress: Progress) -> None:
+        report_attempt(gateway, name, progress, progress.place, False)
+        exchange(world, gateway)
+
+    return action
+
+
 def give_up_action(name: str) -> ProgressAction:
     """Return the action by which a gateway stops waiting for an item."""
 
