Leave work without an owner that a request has taken over in a call which is not persisted

Need: a request whose call the lease service cannot write is told that nothing is recorded, and may be refused at once. Items that the call had begun were removed; one that it had taken over kept the gateway as its owner, and was run by another one after that gateway's death. The model checker found it once the model of refusals had such calls, and a gateway that gives up on work.

The item has no owner again, under a higher fence, written with the next commit. The new test fails without the change.

--- a/tests/test_work_state.py
+++ b/tests/test_work_state.py
@@ -502,6 +502,26 @@
     assert not fleet.work.store.items and not decision.records
 
 
+def test_work_taken_over_by_a_request_that_is_not_persisted_has_no_owner() -> None:
+    # Guards against a request that is refused as not recorded, and run after its gateway's loss.
+    fleet = Fleet(2)
+    fence = fleet.begin(0, begin_work()).fence
+    fleet.call(0, ReleaseWork(name="c/k", fence=fence))
+    holder = fleet.holders[1]
+    holder.enqueue(begin_work(request_id="c/k-2"))
+    decision = fleet.work.handle(holder.next_request(fleet.now), fleet.now)
+    remaining = fleet.work.revert_unjournaled(decision.records)
+    (applied,) = holder.on_not_persisted()
+    assert applied.result.status == OperationStatus.FULL and not applied.may_run_elsewhere
+    restored = WorkState(0)
+    for record in [*fleet.log, *remaining]:
+        restored.restore(record)
+    for work in (fleet.work, restored):
+        assert not work.store.items["c/k"].owner and work.store.items["c/k"].may_have_run
+    fleet.advance(2 * WORK_LEASE_MS, 0)
+    assert not fleet.work.store.items["c/k"].owner
+
+
 def test_a_snapshot_keeps_the_latest_request_of_each_gateway() -> None:
     # Guards against a delayed call that is carried out after a snapshot and a restart.
     fleet = Fleet(2)
--- a/thistletrail/leasing/model_checking/work_refusals.py
+++ b/thistletrail/leasing/model_checking/work_refusals.py
@@ -21,6 +21,7 @@
     MAX_REQUESTS_PER_INCARNATION,
     WorkTransition,
     exchange,
+    give_up_action,
     make_gateway_transition,
     make_transition,
     may_write,
@@ -38,6 +39,8 @@
     Progress,
     ProgressState,
     WorkWorld,
+    apply_results,
+    drop_expired,
     initial_world,
 )
 
@@ -80,9 +83,14 @@
     if gateway.holder.serial <= MAX_REQUESTS_PER_INCARNATION:
         yield make_gateway_transition(world, process_index, "sends a request", send_request)
         yield make_gateway_transition(world, process_index, "sends a request and is answered", exchange)
+        yield make_gateway_transition(
+            world, process_index, "sends a request that cannot be stored", send_unstored_request
+        )
     if progress is None:
         return
     is_owned = gateway.holder.owns(KEYED_ITEM, progress.fence, world.now_ms)
+    if progress.state is ProgressState.WRITTEN and is_owned and process_index != REFUSING_GATEWAY:
+        yield make_gateway_transition(world, process_index, "gives up on the item", give_up_item)
     if may_write(world, KEYED_ITEM, progress, is_owned):
         yield make_gateway_transition(world, process_index, "writes the item", write_item)
     if process_index == REFUSING_GATEWAY:
@@ -122,6 +130,20 @@
             exchange(world, gateway)
 
 
+def send_unstored_request(world: WorkWorld, gateway: GatewayProcess) -> None:
+    """Send a gateway's next request, whose records the lease service cannot write, and deliver its answer."""
+    drop_expired(world, gateway)
+    gateway.holder.requeue_unanswered()
+    decision = world.service.handle(gateway.holder.next_request(world.now_ms), world.now_ms)
+    world.journal += world.service.revert_unjournaled(decision.records)
+    apply_results(world, gateway, gateway.holder.on_not_persisted())
+
+
+def give_up_item(world: WorkWorld, gateway: GatewayProcess) -> None:
+    """Stop waiting for the item, which may have run and now has no owner."""
+    give_up_action(KEYED_ITEM)(world, gateway, gateway.progress_by_item[KEYED_ITEM])
+
+
 def write_item(world: WorkWorld, gateway: GatewayProcess) -> None:
     """Write the item to the zone of its attempt, where it runs."""
     write_action(KEYED_ITEM)(world, gateway, gateway.progress_by_item[KEYED_ITEM])
--- a/thistletrail/leasing/model_checking/work_world.py
+++ b/thistletrail/leasing/model_checking/work_world.py
@@ -8,7 +8,7 @@
 
 import copy
 import enum
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass, field, replace
 
 from thistletrail.leasing.messages import (
@@ -24,7 +24,7 @@
     WorkResponse,
 )
 from thistletrail.leasing.model_checking.work_faults import LEASE_MS, WorkModel
-from thistletrail.leasing.work_holder import WorkHolder
+from thistletrail.leasing.work_holder import AppliedOperation, WorkHolder
 from thistletrail.leasing.work_records import WorkBegan, WorkOwned, WorkRecord
 from thistletrail.leasing.work_state import WorkState
 
@@ -253,7 +253,16 @@
 def apply_response(world: WorkWorld, gateway: GatewayProcess, response: WorkResponse) -> None:
     """Apply a response at its gateway."""
     applied = gateway.holder.on_response(response, world.now_ms)
-    for entry in applied.operations:
+    apply_results(world, gateway, applied.operations)
+    for item in applied.transferred:
+        progress = Progress(fence=item.fence, place=item.place or gateway.zone, never_ran=not item.place)
+        gateway.progress_by_item[item.name] = progress
+        report_attempt(gateway, item.name, progress, progress.place, False)
+
+
+def apply_results(world: WorkWorld, gateway: GatewayProcess, operations: Iterable[AppliedOperation]) -> None:
+    """Apply the results of operations at their gateway."""
+    for entry in operations:
         progress = gateway.progress_by_item.get(entry.operation.name)
         if progress is None:
             continue
@@ -263,10 +272,6 @@
             apply_withdrawal_result(world, progress, entry.operation, entry.result)
         elif not entry.is_withdrawn:
             apply_result(world, gateway, progress, entry.operation, entry.result)
-    for item in applied.transferred:
-        progress = Progress(fence=item.fence, place=item.place or gateway.zone, never_ran=not item.place)
-        gateway.progress_by_item[item.name] = progress
-        report_attempt(gateway, item.name, progress, progress.place, False)
 
 
 def apply_withdrawal_result(
@@ -333,6 +338,8 @@
         progress.state = ProgressState.OVER
         if result.status == OperationStatus.ANSWERED:
             world.record_answered(operation.name)
+        elif result.status == OperationStatus.FULL and not progress.may_run_elsewhere:
+            world.record_refused(operation.request_id)  # the gateway may refuse it at once
 
 
 def report_attempt(
--- a/thistletrail/leasing/work_state.py
+++ b/thistletrail/leasing/work_state.py
@@ -120,20 +120,32 @@
                 self.membership.record_incarnation(identity.gateway, identity.incarnation)
 
     def revert_unjournaled(self, records: Iterable[WorkRecord]) -> list[WorkRecord]:
-        """Remove the items that unjournaled records began; return the other records, to be journaled later.
+        """Take back the ownership that unjournaled records gave to gateways for requests of their clients.
 
-        No response was sent, so the gateways of these items continue without a work lease. The other records
-        remain applied: they are true, or at worst forbid more than necessary.
+        Their gateways are told that nothing is recorded, and may refuse these requests. Items that were begun
+        are removed; those that existed have no owner again. The other records remain applied: they are true,
+        or at worst forbid more than necessary.
+
+        Returns:
+            The records to journal later.
         """
-        remaining = []
+        self.records = []
         removed: set[str] = set()
         for record in records:
-            if isinstance(record, WorkBegan) and (item := self.store.items.get(record.name)):
+            item = self.store.items.get(record.name)
+            if isinstance(record, WorkBegan) and item is not None:
                 removed.add(record.name)
                 self.store.remove(item)
             elif record.name not in removed:
-                remaining.append(record)
-        return remaining
+                self.records.append(record)
+                if isinstance(record, WorkOwned) and record.request_id and item is not None:
+                    self.take_back(item, record)
+        return self.records
+
+    def take_back(self, item: WorkItem, owned: WorkOwned) -> None:
+        """Leave an item without an owner, unless it has another owner than a record gave it."""
+        if (item.owner, item.fence) == (owned.owner, owned.fence):
+            self.leave_without_owner(item)
 
     # --- lost owners ---
 
@@ -324,15 +336,15 @@
         elif operation.never_ran:
             self.apply_and_record(WorkDropped(name=item.name))
         else:
-            self.apply_and_record(
-                WorkOwned(
-                    name=item.name,
-                    owner="",
-                    fence=self.store.fence + 1,
-                    end_ms=item.end_ms,
-                    deaths=item.deaths,
-                )
+            self.leave_without_owner(item)
+
+    def leave_without_owner(self, item: WorkItem) -> None:
+        """Leave an item without an owner until a gateway begins it again for a client's request."""
+        self.apply_and_record(
+            WorkOwned(
+                name=item.name, owner="", fence=self.store.fence + 1, end_ms=item.end_ms, deaths=item.deaths
             )
+        )
 
     def begin(self, holder: str, operation: BeginWork, now_ms: int) -> OperationResult:
         """Begin an item, unless there already is one by that name.
