--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -237,3 +237,10 @@
     assert len(set(recovering)) > 20
     assert all(objective_us / 10 <= wait_us <= 3 * objective_us / 10 for wait_us in recovering)
     assert set(retry_after_us(harness, RECOVERY_US)) == {objective_us // 5}
+
+
+def test_units_below_a_hundredth_are_still_requested_in_a_message() -> None:
+    # Guards against a request for an answer that reads as a report alone, and is never answered.
+    (data,) = pack_datagrams([QuotaMessage(1, 0, 0, 2, requested=0.004), QuotaMessage(1, 0, 0, 2)])
+    small, nothing = unpack_datagram(data).quota_messages
+    assert small.requested > 0 and nothing.requested == 0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -954,6 +954,17 @@
     assert chances == {0.0: pytest.approx(6 / 12), 1.0: pytest.approx(5 / 12)}
 
 
+def test_admission_chance_without_any_demand_is_certain_unless_the_quota_is_overspent() -> None:
+    # Guards against a quota owner that divides by zero on a report of too few units to be sent.
+    harness = GatewayHarness(SETTINGS)
+    harness.send_request("a")
+    (customer,) = harness.engine.customers.by_key.values()
+    customer.local_demand = customer.peer_demand = 0.0
+    assert customer.admission_chance(0.0) == 1.0
+    customer.set_level = -1000.0
+    assert customer.admission_chance(0.0) == 0.0
+
+
 def limited_harness(exact_limit: float, queued: int) -> GatewayHarness:
     """Return a harness with `queued` requests that wait under a limit N of `exact_limit` a second."""
     harness = loaded_harness(0.9)
--- a/thistletrail/policy/peer_codec.py
+++ b/thistletrail/policy/peer_codec.py
@@ -89,7 +89,7 @@
         message.is_answer,
         _to_amount_steps(message.demand),
         _to_amount_steps(message.spent),
-        _to_amount_steps(message.requested),
+        _to_requested_steps(message.requested),
         _to_amount_steps(message.level),
     )
 
@@ -145,5 +145,10 @@
     return max(MIN_AMOUNT_STEPS, min(MAX_AMOUNT_STEPS, round(amount * AMOUNT_STEPS_PER_UNIT)))
 
 
+def _to_requested_steps(requested: float) -> int:
+    """Return the steps of requested units: 0 only if none are requested, as 0 asks for no answer."""
+    return max(int(requested > 0), _to_amount_steps(requested))
+
+
 def _to_ratio_steps(ratio: float) -> int:
     return max(0, min(MAX_BYTE, round(ratio * RATIO_STEPS_PER_UNIT)))
--- a/thistletrail/policy/quota.py
+++ b/thistletrail/policy/quota.py
@@ -188,6 +188,7 @@
         The available quota is the set's level (negative if the quota is overspent), less a reserve, plus the
         refill of one DEMAND_TIME_CONSTANT_US. The chance is 1.0 for a plan without a quota, and 0.0 where the
         limit on requests in flight is reached. With a leased quota it is 1.0 or 0.0, as its level suffices.
+        Without any demand it is 1.0 unless the quota is overspent.
         """
         if not self.has_in_flight_room():
             return 0.0
@@ -197,7 +198,10 @@
         reserve = units * self.plan.over_quota_cost
         refill = self.plan.rate * DEMAND_TIME_CONSTANT_US / MICROSECONDS_PER_SECOND
         quota = self.set_level - reserve + refill
-        return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
+        demand = max(units, self.demand)
+        if not self.plan.rate or not demand:
+            return float(not self.plan.rate or quota >= 0)
+        return max(0.0, min(1.0, quota / demand))
 
     def has_local_share(self, units: float) -> bool:
         """Whether the local share has that many units; False for a plan that limits requests in flight."""
