Check in fault injection that no attempt of a refused request begins

A request that was refused must not begin at a scan server more than the drain's slack later; paused scan servers, links with a fault and a stalled machine are excused.

The planted violation is reported by this rule alone.

--- a/tests/test_fault_injection_checks.py
+++ b/tests/test_fault_injection_checks.py
@@ -145,6 +145,7 @@
     assert set(CHECKS) == {
         "one_answer",
         "executions",
+        "refusals",
         "kept_work",
         "one_attempt",
         "drains",
@@ -157,6 +158,11 @@
 
 
 REQUEST = request_records("x", 8 * US_PER_S)
+# A scan server turns the request away, and the gateway refuses it.
+REFUSED_REQUEST = [
+    *request_records("x", 8 * US_PER_S, outcome="full")[:4],
+    {"at": 8 * US_PER_S + 60 * US_PER_MS, "kind": "end", "id": "x", "how": "refused 500", "wait_us": 0},
+]
 PLANTED_VIOLATIONS: list[tuple[str, list[Record]]] = [
     ("one answer", [*REQUEST, {**REQUEST[4], "at": 8 * US_PER_S + 90 * US_PER_MS}]),
     ("one answer", [{"at": 8 * US_PER_S, "kind": "extra", "data": "'+OK'"}]),
@@ -175,6 +181,10 @@
         [*REQUEST, *retry_records("x", 8 * US_PER_S + 60 * US_PER_MS, server="servers-1", zone=1)],
     ),
     ("executions", [*REQUEST, *retry_records("x", 13 * US_PER_S)]),
+    (
+        "refusals",
+        [*REFUSED_REQUEST, *retry_records("x", 9 * US_PER_S, server="servers-1")],
+    ),
     (
         "one attempt",
         [
@@ -254,6 +264,12 @@
             *fault_records("pause", 8 * US_PER_S, 13 * US_PER_S, "doors-0"),
         ],
         [*REQUEST[:4], UNREACHED_END, *fault_records("cut", 8 * US_PER_S, 9 * US_PER_S, "clients-doors")],
+        REFUSED_REQUEST,
+        [
+            *REFUSED_REQUEST,
+            *retry_records("x", 9 * US_PER_S, server="servers-1"),
+            *fault_records("pause", 8 * US_PER_S, 9 * US_PER_S, "servers-1"),
+        ],  # the scan server may have read late what was sent before the refusal
         [
             endpoint_update(8 * US_PER_S, "DRAINING"),
             *request_records("x", 8 * US_PER_S + 200 * US_PER_MS),
--- a/thistletrail/fault_injection/checks.py
+++ b/thistletrail/fault_injection/checks.py
@@ -14,6 +14,7 @@
 
 from thistletrail.fault_injection.history import Record
 from thistletrail.fault_injection.leases import find_overcommitments
+from thistletrail.fault_injection.load_generator import REFUSED
 from thistletrail.fault_injection.plan import ON_LINKS, Plan
 from thistletrail.fault_injection.simulation_context import SimulationContext
 from thistletrail.gateway.snapshot_store import MAX_POLICY_AGE_S
@@ -213,6 +214,32 @@
     return violations
 
 
+def refusals(history: RunHistory) -> list[Violation]:
+    """No attempt of a request begins after its client was told that it has no effect.
+
+    Excused are attempts that a scan server reads late, because it was paused, its link had a fault or the
+    machine was stalled between the refusal and their arrival. Others may arrive `drain_ms` later.
+    """
+    refused_at_us = {
+        record["id"]: record["at"]
+        for record in history.records_by_kind["end"]
+        if record["how"].startswith(REFUSED)
+    }
+    slack_us = history.plan.limits.drain_ms * MS
+    violations = []
+    for record in history.records_by_kind["came"]:
+        at_us = refused_at_us.get(record["id"], NEVER_US)
+        if record["at"] <= at_us + slack_us:
+            continue
+        is_excused = history.paused_spans.overlaps(record["server"], at_us, record["at"])
+        is_excused = is_excused or history.link_fault_spans.overlaps("doors-servers", at_us, record["at"])
+        is_excused = is_excused or history.stalled_spans.overlaps("", at_us, record["at"])
+        if not is_excused:
+            text = f"request {record['id']}, which was refused, began at {record['server']}"
+            violations.append(Violation("refusals", record["at"], text))
+    return violations
+
+
 def kept_work(history: RunHistory) -> list[Violation]:
     """Where work items are stored, a key runs in one zone only, whichever requests carry it, and does not run
     again after a client has received its outcome."""
@@ -457,6 +484,7 @@
     for check in (
         one_answer,
         executions,
+        refusals,
         kept_work,
         one_attempt,
         drains,
