--- a/thistletrail/gateway/takeover/work_table.py
+++ b/thistletrail/gateway/takeover/work_table.py
@@ -189,12 +189,11 @@
             self.release_for_transfer(item)
             return False
         self.stop_waiting(item)
-        is_withdrawn = self.withdraw_record(item)
-        if is_withdrawn and not item.may_run_elsewhere:
+        if self.withdraw_record(item):
             self.forget(item)
             return False
         item.pending_rejection = action
-        if is_withdrawn or item.may_run_elsewhere or self.client.is_unreachable:
+        if item.may_run_elsewhere or self.client.is_unreachable:
             self.fail_rejected(item)
         else:
             remaining_s = item.exchange.deadline.remaining_us(now_us()) / 1e6
@@ -202,12 +201,13 @@
         return True
 
     def withdraw_record(self, item: WorkItem) -> bool:
-        """Withdraw the item's record; return False if the lease service has to confirm that.
+        """Withdraw the item's record; return whether no gateway can run the item for its request now.
 
         An unconfirmed `BeginWork` stays the item's `pending_begin`, so that its result finds the item.
         """
         if item.pending_begin is not None:
-            item.exchange.is_recorded = not self.holder.withdraw(item.pending_begin)
+            was_never_sent = self.holder.withdraw(item.pending_begin)
+            item.exchange.is_recorded = item.may_run_elsewhere or not was_never_sent
         elif item.fence:
             self.counts.released += self.is_leased(item)
             self.holder.release(item.name, never_ran=item.has_never_run)
