Ask for no time again for a record that is withdrawn while its call is in flight

Need, found on reading the change once more: a withdrawn BeginWork that is sent again is to ask for no time, so that work which only the repetition records is not taken over. That held for one withdrawn after its call had failed, but not for one withdrawn before, which is the usual order: 150 ms without a result come before the call's 500 ms. Its client had been answered -ERR failed, so no refusal was broken, but the work could be run long after that. What is queued again is now decided in one place for both orders.

test_record_withdrawn_before_its_call_fails_is_not_taken_over and test_a_begin_withdrawn_in_flight_is_sent_again_only_to_be_released fail without the change.

--- a/tests/test_takeover_refusals.py
+++ b/tests/test_takeover_refusals.py
@@ -249,6 +249,18 @@
     assert not gateway.lose_gateway()
 
 
+@scenario
+async def test_record_withdrawn_before_its_call_fails_is_not_taken_over(gateway: LeasedGateway) -> None:
+    # Guards against the same, where the client is answered while the call is still in flight.
+    reply = gateway.open("a1")
+    gateway.send_request()
+    gateway.time_out_record("a1")
+    assert reply.answers == [FAILED]
+    gateway.lose_response()
+    gateway.deliver(gateway.send_request())
+    assert not gateway.lose_gateway()
+
+
 @scenario
 async def test_request_that_another_gateway_may_have_got_fails(gateway: LeasedGateway) -> None:
     # Guards against BUSY for work that was transferred while the responses were lost: it runs elsewhere.
--- a/tests/test_work_state.py
+++ b/tests/test_work_state.py
@@ -451,6 +451,18 @@
     assert not fleet.work.store.items
 
 
+def test_a_begin_withdrawn_in_flight_is_sent_again_only_to_be_released() -> None:
+    # Guards against work that is recorded only after its client was answered, and is then run.
+    holder = WorkHolder(5, 1)
+    holder.enqueue(begin_work())
+    holder.next_request(START)
+    assert not holder.withdraw(begin_work())
+    for _ in range(2):
+        holder.requeue_unanswered()
+        assert [operation.left_ms for operation in holder.next_request(START).operations] == [0]
+    assert len(holder.withdrawn) == len(holder.unresolved) == 1
+
+
 def test_a_begin_that_was_not_persisted_when_repeated_is_sent_again() -> None:
     # Guards against work that counts as not recorded, as only its repetition was not.
     holder = WorkHolder(5, 1)
--- a/thistletrail/leasing/work_holder.py
+++ b/thistletrail/leasing/work_holder.py
@@ -170,12 +170,20 @@
         if begin not in self.unresolved:
             del self.queue[position]
             return not self.was_sent(begin.request_id)
-        repetition = msgspec.structs.replace(begin, left_ms=0)
-        self.queue[position] = repetition
-        self.unresolved[self.unresolved.index(begin)] = repetition
-        self.withdrawn.append(repetition)
+        self.withdrawn.append(begin)
+        self.queue[position] = self.without_time_if_withdrawn(begin)
         return False
 
+    def without_time_if_withdrawn(self, operation: WorkOperation) -> WorkOperation:
+        """Return what is sent again for an operation: a withdrawn `BeginWork` asks for no time."""
+        if not isinstance(operation, BeginWork) or operation not in self.withdrawn:
+            return operation
+        repetition = msgspec.structs.replace(operation, left_ms=0)
+        self.withdrawn[self.withdrawn.index(operation)] = repetition
+        if operation in self.unresolved:
+            self.unresolved[self.unresolved.index(operation)] = repetition
+        return repetition
+
     def was_sent(self, request_id: str) -> bool:
         """Return whether a `BeginWork` of this request was sent and has no result yet."""
         in_flight = [] if self.in_flight is None else self.in_flight.operations
@@ -217,7 +225,7 @@
         """Queue the operations of an unanswered request again; the lease service may have applied some."""
         if self.in_flight is None:
             return
-        operations = self.in_flight.operations
+        operations = [self.without_time_if_withdrawn(operation) for operation in self.in_flight.operations]
         self.in_flight = None
         self.unresolved += [
             operation
