State once what excuses a scan server, and read the admission chance and the model's refusal in order

Cause: the new checker of refusals repeated the three excuses of the one for attempts in flight; the chance without demand was folded into the condition for plans without a quota; the model's refusal had two ways to one end.

--- a/thistletrail/fault_injection/checks.py
+++ b/thistletrail/fault_injection/checks.py
@@ -122,6 +122,17 @@
             or self.stalled_spans.overlaps("", begin_us, end_us)
         )
 
+    def is_server_excused(self, server: str, begin_us: int, end_us: int) -> bool:
+        """Whether a scan server may have read late what gateways did in a span.
+
+        It was paused, its link had a fault, or the machine was stalled.
+        """
+        return (
+            self.paused_spans.overlaps(server, begin_us, end_us)
+            or self.link_fault_spans.overlaps("doors-servers", begin_us, end_us)
+            or self.stalled_spans.overlaps("", begin_us, end_us)
+        )
+
 
 def one_answer(history: RunHistory) -> list[Violation]:
     """Each accepted request gets exactly one final answer, at most half a second after its deadline.
@@ -231,10 +242,7 @@
         at_us = refused_at_us.get(record["id"], NEVER_US)
         if record["at"] <= at_us + slack_us:
             continue
-        is_excused = history.paused_spans.overlaps(record["server"], at_us, record["at"])
-        is_excused = is_excused or history.link_fault_spans.overlaps("doors-servers", at_us, record["at"])
-        is_excused = is_excused or history.stalled_spans.overlaps("", at_us, record["at"])
-        if not is_excused:
+        if not history.is_server_excused(record["server"], at_us, record["at"]):
             text = f"request {record['id']}, which was refused, began at {record['server']}"
             violations.append(Violation("refusals", record["at"], text))
     return violations
@@ -285,11 +293,7 @@
     violations, slack_us = [], history.plan.limits.drain_ms * MS
     for request_id, attempts in attempts_of(history).items():
         for (earlier, earlier_end_us, _), (record, _, _) in pairwise(attempts):
-            is_excused = history.paused_spans.overlaps(earlier["server"], earlier["at"], record["at"])
-            is_excused = is_excused or history.link_fault_spans.overlaps(
-                "doors-servers", earlier["at"], record["at"]
-            )
-            is_excused = is_excused or history.stalled_spans.overlaps("", earlier["at"], record["at"])
+            is_excused = history.is_server_excused(earlier["server"], earlier["at"], record["at"])
             if earlier_end_us > record["at"] + slack_us and not is_excused:
                 violations.append(
                     Violation(
--- a/thistletrail/leasing/model_checking/work_refusals.py
+++ b/thistletrail/leasing/model_checking/work_refusals.py
@@ -170,13 +170,11 @@
         may_be_recorded = gateway.holder.release(KEYED_ITEM, never_ran=progress.never_ran)
     else:
         may_be_recorded = not gateway.holder.withdraw(progress.begin)
-    if not world.model.withdraws_before_refusal:
-        may_be_recorded = False
+    is_withdrawn = not may_be_recorded and not progress.may_run_elsewhere
+    if is_withdrawn or not world.model.withdraws_before_refusal:
+        progress.state = ProgressState.OVER
+        world.record_refused(progress.begin.request_id)
     elif progress.may_run_elsewhere:
         progress.state = ProgressState.OVER  # the client is answered that its request failed
-        return
-    if may_be_recorded:
-        progress.state = ProgressState.WITHDRAWING
     else:
-        progress.state = ProgressState.OVER
-        world.record_refused(progress.begin.request_id)
+        progress.state = ProgressState.WITHDRAWING
--- a/thistletrail/policy/quota.py
+++ b/thistletrail/policy/quota.py
@@ -194,13 +194,15 @@
             return 0.0
         if budget := self.leased.get(BudgetKind.QUOTA):
             return float(budget.level >= units)
+        if not self.plan.rate:
+            return 1.0
         # The more a request beyond the quota costs, the more of the quota stays in reserve.
         reserve = units * self.plan.over_quota_cost
         refill = self.plan.rate * DEMAND_TIME_CONSTANT_US / MICROSECONDS_PER_SECOND
         quota = self.set_level - reserve + refill
         demand = max(units, self.demand)
-        if not self.plan.rate or not demand:
-            return float(not self.plan.rate or quota >= 0)
+        if not demand:
+            return float(quota >= 0)
         return max(0.0, min(1.0, quota / demand))
 
     def has_local_share(self, units: float) -> bool:
